--- /dev/null
+++ b/buckthornshift/callers/__init__.py
@@ -0,0 +1,41 @@
+"""Clients of the system, for callers and for operators."""
+
+from ._client import (
+    ANSWER_SLACK_S,
+    JSON_HEADERS,
+    RESUBMISSION_HEADERS,
+    RESUBMIT_DELAY_S,
+    CallerClient,
+    ClientCounts,
+    NoAnswerError,
+    encode_job,
+    is_worth_retrying,
+)
+from ._operator import (
+    POLL_S,
+    VERDICT_TIMEOUT_S,
+    CatalogueIncompleteError,
+    InstanceVersion,
+    OperatorClient,
+    PlatformUnreachableError,
+    VerdictUnknownError,
+)
+
+__all__ = [
+    "ANSWER_SLACK_S",
+    "CallerClient",
+    "CatalogueIncompleteError",
+    "ClientCounts",
+    "InstanceVersion",
+    "JSON_HEADERS",
+    "NoAnswerError",
+    "OperatorClient",
+    "POLL_S",
+    "PlatformUnreachableError",
+    "RESUBMISSION_HEADERS",
+    "RESUBMIT_DELAY_S",
+    "VERDICT_TIMEOUT_S",
+    "VerdictUnknownError",
+    "encode_job",
+    "is_worth_retrying",
+]
--- /dev/null
+++ b/buckthornshift/contracts/_catalogue.py
@@ -0,0 +1,100 @@
+"""Catalogue documents and their records in the platform's log."""
+
+import attrs
+
+DEFAULT_MAX_TIMEOUT_MS = 60_000
+
+
+@attrs.frozen(kw_only=True)
+class OwnerSpec:
+    """Limits of one owner, held across all entry instances.
+
+    :param max_running_tasks: tasks running at once; 0 for no limit.
+    :param max_starts_per_s: task starts a second; 0 for no limit.
+    :param weight: share of the slots relative to other owners under load.
+    """
+
+    max_running_tasks: int = 0
+    max_starts_per_s: float = 0.0
+    weight: int = 1
+
+
+@attrs.frozen(kw_only=True)
+class EntrySpec:
+    """One catalogue entry: an owner, a class of work and limits.
+
+    :param owner: name of the owner.
+    :param is_repeatable: whether a task may be started again after a failure.
+    :param max_tasks_per_job: largest accepted job.
+    :param max_timeout_ms: longest accepted timeout, in milliseconds.
+    :param max_running_tasks: tasks running at once; 0 for no limit.
+    :param max_starts_per_s: task starts a second; 0 for no limit.
+    :param max_attempts: most starts of one repeatable task.
+    :param is_served_in_outage: whether repeatable work goes on while the log is
+        out of reach, with deduplication in the zone's memory alone.
+    """
+
+    owner: str = ""
+    is_repeatable: bool = False
+    max_tasks_per_job: int = 340
+    max_timeout_ms: int = DEFAULT_MAX_TIMEOUT_MS
+    max_running_tasks: int = 0
+    max_starts_per_s: float = 0.0
+    max_attempts: int = 3
+    is_served_in_outage: bool = True
+
+
+@attrs.frozen(kw_only=True)
+class CatalogueDocument:
+    """Catalogue as operators write it.
+
+    :param owners: owner limits by owner name.
+    :param entries: entries by entry name.
+    """
+
+    owners: dict[str, OwnerSpec] = attrs.field(factory=dict)
+    entries: dict[str, EntrySpec] = attrs.field(factory=dict)
+
+
+@attrs.frozen(kw_only=True)
+class CatalogueItem:
+    """One owner or entry at the log offset that set it.
+
+    :param offset: offset of the change that set or deleted the item.
+    :param owner: limits if the item is an owner.
+    :param entry: entry if the item is an entry; both ``None`` if deleted.
+    """
+
+    offset: int = -1
+    owner: OwnerSpec | None = None
+    entry: EntrySpec | None = None
+
+
+@attrs.frozen(kw_only=True)
+class CatalogueChange:
+    """Record: a change of some items, conditional on the version it is based on.
+
+    :param change_id: unique name of the change.
+    :param based_on: version (log offset) that the operator saw.
+    :param author: who made the change.
+    :param items: new items by key; offsets are set when the record is read.
+    """
+
+    change_id: str = ""
+    based_on: int = -1
+    author: str = ""
+    items: dict[str, CatalogueItem] = attrs.field(factory=dict)
+
+
+@attrs.frozen(kw_only=True)
+class CatalogueSnapshot:
+    """Record: the whole catalogue, appended again before retention passes.
+
+    :param covers: every record below this offset is contained.
+    :param version: version of the catalogue.
+    :param items: items by key, deleted ones included.
+    """
+
+    covers: int = 0
+    version: int = -1
+    items: dict[str, CatalogueItem] = attrs.field(factory=dict)
--- /dev/null
+++ b/buckthornshift/core/_admission.py
@@ -0,0 +1,148 @@
+"""Whether a job is taken or refused, decided before anything is started."""
+
+from ..contracts import (
+    MAX_TASKS_PER_JOB,
+    MIN_TIMEOUT_MS,
+    Reason,
+    Refusal,
+    parse_job_id_ms,
+)
+
+OVERLOAD_RETRY_MIN_MS = 100
+
+
+class Admission:
+    """Refuse early and cheaply what cannot be answered in time.
+
+    :param settings: the :class:`CoreSettings`.
+    :param servers: the :class:`ServerTable`.
+    :param peers: the :class:`PeerTable`.
+    :param queue: the :class:`FairQueue`.
+    :param run_times: the :class:`RunTimes`.
+    """
+
+    def __init__(
+        self, settings=None, servers=None, peers=None, queue=None, run_times=None
+    ):
+        self.settings = settings
+        self.servers = servers
+        self.peers = peers
+        self.queue = queue
+        self.run_times = run_times
+
+    def check_id(self, job_id, floor_ms, wall_ms):
+        """Return a refusal for an id that is malformed, too old or in the future.
+
+        :param job_id: the job id.
+        :param floor_ms: floor of forgotten claims, milliseconds since the epoch.
+        :param wall_ms: wall-clock time, milliseconds since the epoch.
+        :returns: :class:`~buckthornshift.contracts.Refusal` or ``None``.
+        """
+        created_ms = parse_job_id_ms(job_id)
+        if created_ms is None:
+            return Refusal(
+                detail=f"job_id: got {job_id!r}, expected a lower-case UUID version 7"
+            )
+        if created_ms <= floor_ms:
+            return Refusal(
+                reason=Reason.ID_TOO_OLD,
+                detail=f"job_id: got creation time {created_ms} ms, expected "
+                f"more than {floor_ms} ms; earlier jobs are forgotten",
+            )
+        if created_ms > wall_ms + self.settings.id_skew_ms:
+            return Refusal(
+                reason=Reason.ID_IN_FUTURE,
+                detail=f"job_id: got creation time {created_ms} ms, expected at most "
+                f"{self.settings.id_skew_ms:.0f} ms after {wall_ms:.0f} ms",
+                retry_after_ms=int(created_ms - wall_ms - self.settings.id_skew_ms),
+            )
+        return None
+
+    def check_limits(self, job, entry):
+        """Return a refusal for a job that its entry does not allow, or ``None``.
+
+        :param job: the submitted job.
+        :param entry: its catalogue entry.
+        """
+        n_tasks = len(job.tasks)
+        max_tasks = min(entry.max_tasks_per_job, MAX_TASKS_PER_JOB)
+        if not 1 <= n_tasks <= max_tasks:
+            return Refusal(
+                reason=Reason.TOO_MANY_TASKS,
+                detail=f"tasks: got {n_tasks}, expected 1 to {max_tasks}",
+            )
+        if not MIN_TIMEOUT_MS <= job.timeout_ms <= entry.max_timeout_ms:
+            return Refusal(
+                reason=Reason.TIMEOUT_TOO_LONG
+                if job.timeout_ms > entry.max_timeout_ms
+                else Reason.DEADLINE_PAST,
+                detail=f"timeout_ms: got {job.timeout_ms}, expected "
+                f"{MIN_TIMEOUT_MS} to {entry.max_timeout_ms}",
+            )
+        return None
+
+    def check_room(self, tasks, timeout_ms, work_in_flight_ms):
+        """Return a refusal for a job that cannot end in time, or ``None``.
+
+        :param tasks: the job's tasks.
+        :param timeout_ms: the job's timeout.
+        :param work_in_flight_ms: expected run time left in started tasks.
+        """
+        for task in tasks:
+            if not self.servers.can_any_hold(task):
+                return self._refuse_infeasible(task)
+        if self.queue.n_tasks + len(tasks) > self.settings.max_queued_tasks:
+            return self._refuse_overload(self._estimate_wait_ms(work_in_flight_ms))
+        return self._check_time(tasks, timeout_ms, work_in_flight_ms)
+
+    def estimate_capacity(self):
+        """Return the slots that this instance can count on."""
+        share = self.servers.n_slots / self.peers.n_instances
+        return max(1.0, share)
+
+    def _check_time(self, tasks, timeout_ms, work_in_flight_ms):
+        wait_ms = self._estimate_wait_ms(work_in_flight_ms)
+        longest_ms = max(task.expected_ms for task in tasks)
+        own_ms = sum(task.expected_ms for task in tasks)
+        all_slots = max(1.0, float(self.servers.n_slots))
+        finish_ms = wait_ms + max(longest_ms, own_ms / all_slots)
+        if longest_ms > timeout_ms:
+            return Refusal(
+                reason=Reason.INFEASIBLE,
+                detail=f"timeout_ms: got {timeout_ms}, expected at least the "
+                f"longest task's {longest_ms:.0f} ms",
+            )
+        is_late = finish_ms > self.settings.deadline_margin * timeout_ms
+        is_crowded = wait_ms > self.settings.max_queue_wait_ms
+        if wait_ms > 0 and (is_late or is_crowded):
+            return self._refuse_overload(wait_ms)
+        return None
+
+    def _estimate_wait_ms(self, work_in_flight_ms):
+        backlog_ms = self.queue.work_ms
+        if backlog_ms <= 0:
+            return 0.0
+        capacity = self.estimate_capacity()
+        return (backlog_ms + work_in_flight_ms / 2) / capacity
+
+    def _refuse_infeasible(self, task):
+        has_servers = any(True for _ in self.servers.iter_usable())
+        if not has_servers:
+            return Refusal(
+                reason=Reason.OVERLOADED,
+                detail="no backend server is live",
+                retry_after_ms=1_000,
+            )
+        return Refusal(
+            reason=Reason.INFEASIBLE,
+            detail=f"task {task.id!r}: got {task.spec.cores} cores and "
+            f"{task.spec.memory_mb} MB, expected at most what the largest "
+            "backend server has",
+        )
+
+    def _refuse_overload(self, wait_ms):
+        return Refusal(
+            reason=Reason.OVERLOADED,
+            detail=f"expected wait {wait_ms:.0f} ms",
+            retry_after_ms=max(OVERLOAD_RETRY_MIN_MS, int(wait_ms)),
+        )
--- /dev/null
+++ b/buckthornshift/core/_answering.py
@@ -0,0 +1,84 @@
+"""The one answer of a job: fixed once, sent to all who wait, kept for a time."""
+
+import msgspec
+
+from ..contracts import JobAnswered, JobStatus
+from ._actions import AnswerCaller, EventCode, SendPeer
+from ._claiming import make_claim
+from ._jobs import CallerWaiter, JobPhase, PeerWaiter
+from ._messages import JobSettled, WaiterAnswered
+
+
+class Answering:
+    """Send answers and keep them.
+
+    :param context: the shared :class:`Context`.
+    :param running: the :class:`Running` part, whose tasks an answer ends.
+    """
+
+    def __init__(self, context=None, running=None):
+        self.context = context
+        self.running = running
+
+    def subscribe(self):
+        """Return handlers by message class."""
+        return {
+            JobSettled: self.on_settled,
+            WaiterAnswered: self.on_waiter_answered,
+        }
+
+    def on_settled(self, message):
+        """Fix a job's answer; a later one for the same job is ignored."""
+        context = self.context
+        job = message.job
+        if job.answer is not None:
+            return
+        answer = message.answer
+        context.monitor.check_job_answer(job, answer)
+        self.running.drop_job(job)
+        job.answer = answer
+        job.phase = JobPhase.ANSWERED
+        context.timers.cancel(job.deadline_timer)
+        context.note(EventCode.JOB_ANSWERED, job.job_id, answer.status)
+        encoded = msgspec.msgpack.encode(answer)
+        self._record_outcome(job, encoded)
+        context.jobs.keep_answer(job, len(encoded), context.now_ms)
+        for waiter in job.waiters:
+            self._send(waiter, answer)
+        job.waiters = []
+
+    def on_waiter_answered(self, message):
+        """Send an answer that belongs to no job of this instance."""
+        self._send(message.waiter, message.answer)
+
+    def _record_outcome(self, job, encoded):
+        context = self.context
+        context.writer.drop_claim(job.job_id)
+        if job.is_outage_run:
+            context.writer.add_claim(make_claim(context, job))
+        is_small = len(encoded) <= context.settings.max_outcome_bytes
+        body = encoded if is_small else b""
+        context.writer.add_outcome(job.job_id, job.term, body)
+
+    def _send(self, waiter, answer):
+        context = self.context
+        self._count(answer)
+        match waiter:
+            case CallerWaiter(caller_ref=caller_ref):
+                context.monitor.check_answer_sent(caller_ref, answer.job_id, answer)
+                context.emit(AnswerCaller(caller_ref=caller_ref, answer=answer))
+            case PeerWaiter(peer_id=peer_id, request_id=request_id):
+                peer = context.peers.by_id.get(peer_id)
+                if peer is not None:
+                    message = JobAnswered(request_id=request_id, answer=answer)
+                    context.emit(SendPeer(peer=peer.record, message=message))
+
+    def _count(self, answer):
+        counters = self.context.counters
+        match answer.status:
+            case JobStatus.COMPLETE:
+                counters.n_complete += 1
+            case JobStatus.FAILED:
+                counters.n_failed += 1
+            case JobStatus.NOT_RUN:
+                counters.n_refused += 1
--- /dev/null
+++ b/buckthornshift/core/_attaching.py
@@ -0,0 +1,219 @@
+"""Questions to the homes of jobs that belong to other instances."""
+
+import attrs
+
+from ..contracts import AwaitJob, CancelJob, JobAnswered, Reason
+from ._actions import EventCode, SendPeer
+from ._context import fail_unknown
+from ._events import InstancesListed, PeerReceived, PeerSendFailed
+from ._messages import (
+    CancelAsked,
+    HomeAsked,
+    HomeGone,
+    QuestionDue,
+    SubmissionArrived,
+    WaiterAnswered,
+)
+
+ASK_AGAIN_MS = 200.0
+ANSWER_SLACK_MS = 500.0
+HOME_RETRY_AFTER_MS = 1_000
+
+
+@attrs.define(kw_only=True)
+class Question:
+    """A question to another instance.
+
+    :param request_id: identifies the question at this instance.
+    :param asked: the message that led to it.
+    :param asked_ms: when it was first asked.
+    :param due_ms: when the waiter is told that there is no answer.
+    :param failed_ms: first failure to reach the home since the last contact.
+    """
+
+    request_id: int = 0
+    asked: HomeAsked | CancelAsked = HomeAsked()
+    asked_ms: float = 0.0
+    due_ms: float = 0.0
+    failed_ms: float | None = None
+
+
+class Attaching:
+    """Ask the home of a job, and settle what happens if it cannot tell.
+
+    :param context: the shared :class:`Context`.
+    """
+
+    def __init__(self, context=None):
+        self.context = context
+        self.by_request = {}
+        self._next_request = 0
+
+    def subscribe(self):
+        """Return handlers by message class."""
+        return {
+            HomeAsked: self.on_home_asked,
+            CancelAsked: self.on_cancel_asked,
+            PeerReceived: self.on_peer,
+            PeerSendFailed: self.on_send_failed,
+            InstancesListed: self.on_listed,
+            QuestionDue: self.on_due,
+        }
+
+    def on_home_asked(self, message):
+        """Ask the home of a job for its answer."""
+        self.context.note(EventCode.JOB_ATTACHED, message.job.job_id, message.home_id)
+        self._open(message, message.job.timeout_ms + ANSWER_SLACK_MS)
+
+    def on_cancel_asked(self, message):
+        """Ask the home of a job to cancel it."""
+        self._open(message, self.context.settings.attach_patience_ms)
+
+    def on_peer(self, event):
+        """Pass a home's answer to the waiter."""
+        if not isinstance(event.message, JobAnswered):
+            return
+        question = self.by_request.pop(event.message.request_id, None)
+        if question is not None:
+            self._answer(question, event.message.answer)
+
+    def on_send_failed(self, event):
+        """Ask again, elsewhere, or give up, by what is certain."""
+        if not isinstance(event.message, AwaitJob | CancelJob):
+            return
+        question = self.by_request.get(event.message.request_id)
+        if question is None:
+            return
+        if question.failed_ms is None:
+            question.failed_ms = self.context.now_ms
+        is_forward = isinstance(question.asked, HomeAsked) and (
+            question.asked.claim is None
+        )
+        if is_forward:
+            self._route_again(question, event.may_have_arrived)
+            return
+        self._reconsider(question)
+
+    def on_listed(self, event):
+        """Settle questions whose home has gone."""
+        for question in list(self.by_request.values()):
+            if self._is_home_gone(question):
+                self._settle_gone(question)
+
+    def on_due(self, message):
+        """Look again at an open question."""
+        question = self.by_request.get(message.request_id)
+        if question is None:
+            return
+        if self.context.now_ms >= question.due_ms:
+            self._give_up(question, "the home did not answer in time")
+            return
+        if question.failed_ms is not None:
+            question.failed_ms = min(question.failed_ms, self.context.now_ms)
+            self._ask(question)
+            return
+        self._schedule(question)
+
+    def _open(self, asked, patience_ms):
+        self._next_request += 1
+        now_ms = self.context.now_ms
+        question = Question(
+            request_id=self._next_request,
+            asked=asked,
+            asked_ms=now_ms,
+            due_ms=now_ms + patience_ms,
+        )
+        self.by_request[question.request_id] = question
+        self._ask(question)
+
+    def _ask(self, question):
+        context = self.context
+        peer = context.peers.by_id.get(question.asked.home_id)
+        if peer is None:
+            self._settle_gone(question)
+            return
+        context.counters.n_peer_messages += 1
+        context.emit(SendPeer(peer=peer.record, message=_make_question(question)))
+        self._schedule(question)
+
+    def _schedule(self, question):
+        delay_ms = question.due_ms - self.context.now_ms
+        if question.failed_ms is not None:
+            delay_ms = min(delay_ms, ASK_AGAIN_MS)
+        message = QuestionDue(request_id=question.request_id)
+        self.context.start_timer(max(1.0, delay_ms), message)
+
+    def _reconsider(self, question):
+        context = self.context
+        if self._is_home_gone(question):
+            self._settle_gone(question)
+            return
+        waited_ms = context.now_ms - question.failed_ms
+        if waited_ms >= context.settings.attach_patience_ms:
+            self._give_up(question, "the home of the job cannot be reached")
+            return
+        self._schedule(question)
+
+    def _route_again(self, question, may_have_arrived):
+        context = self.context
+        if may_have_arrived and context.log_health.is_out:
+            self._give_up(question, "the peer that got the job cannot be reached")
+            return
+        self.by_request.pop(question.request_id, None)
+        context.post(
+            SubmissionArrived(
+                waiter=question.asked.waiter,
+                job=question.asked.job,
+                is_resubmission=question.asked.is_resubmission,
+            )
+        )
+
+    def _is_home_gone(self, question):
+        peers = self.context.peers
+        asked = question.asked
+        if isinstance(asked, HomeAsked) and asked.claim is not None:
+            return not peers.is_alive(asked.home_id, asked.claim.incarnation)
+        return asked.home_id not in peers.by_id
+
+    def _settle_gone(self, question):
+        context = self.context
+        self.by_request.pop(question.request_id, None)
+        asked = question.asked
+        if not isinstance(asked, HomeAsked):
+            self._give_up(question, "the home of the job has gone")
+            return
+        state = context.claims.find(asked.job.job_id)
+        is_moved = state is None or (
+            asked.claim is not None and state.claim != asked.claim
+        )
+        if is_moved:
+            self._route_again(question, may_have_arrived=True)
+            return
+        context.post(HomeGone(waiter=asked.waiter, job=asked.job, state=state))
+
+    def _give_up(self, question, detail):
+        self.by_request.pop(question.request_id, None)
+        asked = question.asked
+        job_id = asked.job.job_id if isinstance(asked, HomeAsked) else asked.job_id
+        answer = fail_unknown(
+            job_id, Reason.HOME_UNREACHABLE, detail, HOME_RETRY_AFTER_MS
+        )
+        self._answer(question, answer)
+
+    def _answer(self, question, answer):
+        waiter = question.asked.waiter
+        self.context.post(WaiterAnswered(waiter=waiter, answer=answer))
+
+
+def _make_question(question):
+    asked = question.asked
+    match asked:
+        case HomeAsked():
+            return AwaitJob(
+                request_id=question.request_id,
+                job=asked.job,
+                is_resubmission=asked.is_resubmission,
+                is_forwarded=asked.claim is None,
+            )
+        case CancelAsked():
+            return CancelJob(request_id=question.request_id, job_id=asked.job_id)
--- /dev/null
+++ b/buckthornshift/core/_catalogue.py
@@ -0,0 +1,255 @@
+"""Catalogue in force at an instance, built from the platform's log."""
+
+import attrs
+
+from ..contracts import (
+    CatalogueChange,
+    CatalogueDocument,
+    CatalogueItem,
+    CatalogueSnapshot,
+    OwnerSpec,
+    Reason,
+    Refusal,
+)
+from ._invariants import Invariant
+
+OWNER_PREFIX = "owner/"
+ENTRY_PREFIX = "entry/"
+MAX_VERDICTS = 1_000
+
+
+@attrs.frozen(kw_only=True)
+class ChangeVerdict:
+    """What became of a catalogue change.
+
+    :param change_id: name of the change.
+    :param offset: offset of the change.
+    :param is_accepted: whether it is in force.
+    :param conflicts: keys that another change had set since its base version.
+    """
+
+    change_id: str = ""
+    offset: int = 0
+    is_accepted: bool = False
+    conflicts: tuple[str, ...] = ()
+
+
+class Catalogue:
+    """Apply changes in log order; the higher offset wins for each item.
+
+    A reader that starts after records were trimmed holds records back until a
+    snapshot covers the trimmed part, so that it never judges a change against an
+    incomplete catalogue.
+
+    :param monitor: the invariant monitor.
+    """
+
+    def __init__(self, monitor=None):
+        self.monitor = monitor
+        self.version = -1
+        self.covers = 0
+        self.is_ready = False
+        self.items_by_key = {}
+        self.verdicts_by_change = {}
+        self.last_snapshot_offset = -1
+        self._held_by_offset = {}
+
+    @property
+    def is_waiting_for_snapshot(self):
+        """Whether records are held back until a snapshot arrives."""
+        return bool(self._held_by_offset)
+
+    def read_record(self, offset, message):
+        """Take one record of the catalogue stream.
+
+        :param offset: offset of the record.
+        :param message: the decoded record; any other message is skipped over.
+        :returns: the :class:`ChangeVerdict` of a change, else ``None``.
+        """
+        if offset < self.covers:
+            return None
+        if offset > self.covers:
+            self._hold_record(offset, message)
+            return None
+        return self._apply_record(offset, message)
+
+    def merge_snapshot(self, snapshot):
+        """Take over a snapshot if it is ahead; records held back then apply.
+
+        :param snapshot: a :class:`~buckthornshift.contracts.CatalogueSnapshot`.
+        :returns: whether anything was taken over.
+        """
+        if snapshot.covers <= self.covers:
+            return False
+        for key, item in snapshot.items.items():
+            self._set_item(key, item)
+        self._raise_version(snapshot.version)
+        self.covers = snapshot.covers
+        self.is_ready = True
+        self._apply_held()
+        return True
+
+    def finish_read(self, batch):
+        """Note the end of a read; the catalogue is ready once it met the head.
+
+        :param batch: the :class:`~buckthornshift.contracts.LogBatch` just read.
+        """
+        if self.covers >= batch.head:
+            self.is_ready = True
+
+    def make_snapshot(self):
+        """Return a snapshot of everything in force."""
+        return CatalogueSnapshot(
+            covers=self.covers, version=self.version, items=dict(self.items_by_key)
+        )
+
+    def find_entry(self, name):
+        """Return the entry of a name, or a refusal.
+
+        :param name: name of the entry.
+        :returns: :class:`~buckthornshift.contracts.EntrySpec` or
+            :class:`~buckthornshift.contracts.Refusal`.
+        """
+        if not self.is_ready:
+            return Refusal(
+                reason=Reason.CATALOGUE_NOT_READY,
+                detail="the catalogue has not been read yet",
+                retry_after_ms=1_000,
+            )
+        item = self.items_by_key.get(ENTRY_PREFIX + name)
+        if item is None or item.entry is None:
+            return Refusal(
+                reason=Reason.UNKNOWN_ENTRY,
+                detail=f"got entry {name!r}, expected one of the catalogue",
+            )
+        return item.entry
+
+    def find_owner(self, name):
+        """Return the limits of an owner; an unlisted owner has none.
+
+        :param name: name of the owner.
+        """
+        item = self.items_by_key.get(OWNER_PREFIX + name)
+        if item is None or item.owner is None:
+            return OwnerSpec()
+        return item.owner
+
+    def _hold_record(self, offset, message):
+        if isinstance(message, CatalogueSnapshot) and self._can_start_from(
+            message, offset
+        ):
+            self.merge_snapshot(message)
+            self.read_record(offset, message)
+            return
+        self._held_by_offset[offset] = message
+
+    def _can_start_from(self, snapshot, offset):
+        first_held = min(self._held_by_offset, default=offset)
+        return snapshot.covers >= first_held
+
+    def _apply_held(self):
+        for offset in sorted(self._held_by_offset):
+            if offset > self.covers:
+                return
+            message = self._held_by_offset.pop(offset)
+            if offset == self.covers:
+                self._apply_record(offset, message)
+
+    def _apply_record(self, offset, message):
+        self.covers = offset + 1
+        match message:
+            case CatalogueChange():
+                return self._apply_change(offset, message)
+            case CatalogueSnapshot():
+                self.last_snapshot_offset = offset
+        return None
+
+    def _apply_change(self, offset, change):
+        conflicts = tuple(
+            key for key in change.items if self._offset_of(key) > change.based_on
+        )
+        is_repeat = change.change_id in self.verdicts_by_change
+        if is_repeat:
+            return None
+        if not conflicts:
+            for key, item in change.items.items():
+                self._set_item(key, attrs.evolve(item, offset=offset))
+            self._raise_version(offset)
+        verdict = ChangeVerdict(
+            change_id=change.change_id,
+            offset=offset,
+            is_accepted=not conflicts,
+            conflicts=conflicts,
+        )
+        self._remember_verdict(verdict)
+        return verdict
+
+    def _remember_verdict(self, verdict):
+        self.verdicts_by_change[verdict.change_id] = verdict
+        if len(self.verdicts_by_change) > MAX_VERDICTS:
+            self.verdicts_by_change.pop(next(iter(self.verdicts_by_change)))
+
+    def _offset_of(self, key):
+        item = self.items_by_key.get(key)
+        return -1 if item is None else item.offset
+
+    def _set_item(self, key, item):
+        if item.offset > self._offset_of(key):
+            self.items_by_key[key] = item
+
+    def _raise_version(self, version):
+        if self.monitor is not None:
+            self.monitor.check(
+                version >= self.version,
+                Invariant.CATALOGUE_NEVER_REVERTS,
+                f"{version} after {self.version}",
+            )
+        self.version = max(self.version, version)
+
+
+def flatten_document(document):
+    """Return the items of a catalogue document by key.
+
+    :param document: a :class:`~buckthornshift.contracts.CatalogueDocument`.
+    """
+    items = {
+        OWNER_PREFIX + name: CatalogueItem(owner=spec)
+        for name, spec in document.owners.items()
+    }
+    for name, spec in document.entries.items():
+        items[ENTRY_PREFIX + name] = CatalogueItem(entry=spec)
+    return items
+
+
+def build_document(items_by_key):
+    """Return the document that a set of items stands for.
+
+    :param items_by_key: items in force, deleted ones included.
+    """
+    owners = {}
+    entries = {}
+    for key, item in sorted(items_by_key.items()):
+        if item.owner is not None:
+            owners[key.removeprefix(OWNER_PREFIX)] = item.owner
+        if item.entry is not None:
+            entries[key.removeprefix(ENTRY_PREFIX)] = item.entry
+    return CatalogueDocument(owners=owners, entries=entries)
+
+
+def diff_items(current_by_key, wanted_by_key):
+    """Return the items to write so that the current catalogue becomes the wanted.
+
+    :param current_by_key: items in force.
+    :param wanted_by_key: items of the new document.
+    :returns: changed items by key, empty items standing for deletions.
+    """
+    changed = {}
+    for key, item in wanted_by_key.items():
+        current = current_by_key.get(key, CatalogueItem())
+        if (item.owner, item.entry) != (current.owner, current.entry):
+            changed[key] = item
+    for key, item in current_by_key.items():
+        is_live = item.owner is not None or item.entry is not None
+        if is_live and key not in wanted_by_key:
+            changed[key] = CatalogueItem()
+    return changed
--- /dev/null
+++ b/buckthornshift/core/_drain.py
@@ -0,0 +1,62 @@
+"""Graceful stop: finish what was accepted, then leave."""
+
+from ._actions import EventCode, Exit
+from ._events import DrainRequested
+from ._messages import DrainStepDue
+
+DRAIN_STEP_MS = 50.0
+
+
+class Drain:
+    """Stop an instance without cutting off a request.
+
+    The instance goes on accepting while the platform's list and balancer learn of
+    its leaving; after that it forwards to a peer. It exits when every job and
+    question is answered and its records are on the log.
+
+    :param context: the shared :class:`Context`.
+    :param attaching: the :class:`Attaching` part.
+    """
+
+    def __init__(self, context=None, attaching=None):
+        self.context = context
+        self.attaching = attaching
+        self._idle_since_ms = None
+
+    def subscribe(self):
+        """Return handlers by message class."""
+        return {DrainRequested: self.on_requested, DrainStepDue: self.on_step}
+
+    def on_requested(self, event):
+        """Begin to drain; asking again changes nothing."""
+        context = self.context
+        if context.is_draining:
+            return
+        context.is_draining = True
+        context.drain_started_ms = context.now_ms
+        context.note(EventCode.DRAIN_STARTED, context.identity.instance_id)
+        context.start_timer(DRAIN_STEP_MS, DrainStepDue())
+
+    def on_step(self, message):
+        """Exit if nothing is left to do."""
+        context = self.context
+        if self._is_done():
+            context.has_exited = True
+            context.note(EventCode.DRAIN_FINISHED, context.identity.instance_id)
+            context.emit(Exit())
+            return
+        context.start_timer(DRAIN_STEP_MS, DrainStepDue())
+
+    def _is_done(self):
+        context = self.context
+        drained_ms = context.now_ms - context.drain_started_ms
+        if drained_ms < context.settings.drain_accept_ms:
+            return False
+        if context.jobs.n_open or self.attaching.by_request:
+            self._idle_since_ms = None
+            return False
+        if self._idle_since_ms is None:
+            self._idle_since_ms = context.now_ms
+        waited_ms = context.now_ms - self._idle_since_ms
+        is_patient = waited_ms < context.settings.drain_flush_ms
+        return not (context.writer.has_pending and is_patient)
--- /dev/null
+++ b/buckthornshift/core/_membership.py
@@ -0,0 +1,104 @@
+"""Membership: the platform's list and own evidence, for servers and peers."""
+
+from ..contracts import InstanceKind, OwnerDemand
+from ._actions import EventCode, QueryAttempts, SendPeer
+from ._events import InstancesListed, PeerReceived, PeerSendFailed
+from ._messages import HousekeepingDue
+
+HOUSEKEEPING_MS = 200.0
+MIN_DEMAND_SPACING_MS = 100.0
+
+
+class Membership:
+    """Follow the instance list and exchange demand with peers.
+
+    :param context: the shared :class:`Context`.
+    :param running: the :class:`Running` part.
+    """
+
+    def __init__(self, context=None, running=None):
+        self.context = context
+        self.running = running
+        self.list_version = -1
+        self._demand_told_ms = 0.0
+
+    def subscribe(self):
+        """Return handlers by message class."""
+        return {
+            InstancesListed: self.on_listed,
+            PeerReceived: self.on_peer,
+            PeerSendFailed: self.on_send_failed,
+            HousekeepingDue: self.on_housekeeping,
+        }
+
+    def on_listed(self, event):
+        """Take over a list unless it is older than the last."""
+        context = self.context
+        if event.instances.version < self.list_version:
+            return
+        self.list_version = event.instances.version
+        entries = []
+        backends = []
+        for record in event.instances.instances:
+            is_entry = record.kind is InstanceKind.ENTRY
+            (entries if is_entry else backends).append(record)
+        context.peers.read_list(entries)
+        context.quotas.read_members(
+            [p for p, peer in context.peers.by_id.items() if not peer.record.is_leaving]
+        )
+        ids_by_zone = context.peers.group_ids_by_zone()
+        for change in context.servers.read_list(backends, ids_by_zone):
+            self._follow_change(change)
+
+    def on_peer(self, event):
+        """Take a peer's demand as a sign of life as well."""
+        context = self.context
+        if context.peers.note_contact(event.peer_id):
+            context.note(EventCode.PEER_REACHABLE, event.peer_id)
+        if isinstance(event.message, OwnerDemand):
+            context.quotas.read_demand(event.peer_id, event.message)
+
+    def on_send_failed(self, event):
+        """Note a peer that cannot be reached."""
+        context = self.context
+        if context.peers.note_failure(event.peer_id, context.now_ms):
+            context.note(EventCode.PEER_UNREACHABLE, event.peer_id)
+
+    def on_housekeeping(self, message):
+        """Tell demand, forget gone servers, and come back."""
+        context = self.context
+        context.servers.forget_idle_gone()
+        self.tell_demand()
+        context.start_timer(HOUSEKEEPING_MS, HousekeepingDue())
+
+    def tell_demand(self):
+        """Send own demand to the peers if it changed by much."""
+        context = self.context
+        if context.now_ms - self._demand_told_ms < MIN_DEMAND_SPACING_MS:
+            return
+        demand = context.quotas.make_demand()
+        if demand is None:
+            return
+        self._demand_told_ms = context.now_ms
+        message = OwnerDemand(sequence=context.quotas.sequence, n_tasks_by_key=demand)
+        for peer in context.peers.by_id.values():
+            context.counters.n_peer_messages += 1
+            context.emit(SendPeer(peer=peer.record, message=message))
+
+    def _follow_change(self, change):
+        context = self.context
+        server = change.server
+        if change.is_leaving:
+            context.note(EventCode.SERVER_LEAVING, server.id, "told by the list")
+            return
+        context.note(EventCode.SERVER_GONE, server.id)
+        current = context.servers.by_id.get(server.id)
+        if current is not server:
+            self.running.lose_attempts_of(server.id, server.incarnation)
+            return
+        if server.attempt_ids:
+            context.emit(
+                QueryAttempts(
+                    server=server.record, attempt_ids=tuple(server.attempt_ids)
+                )
+            )
--- /dev/null
+++ b/buckthornshift/core/_messages.py
@@ -0,0 +1,251 @@
+"""Messages between the parts of the core, timer messages included."""
+
+import attrs
+
+from ..contracts import Claim, JobAnswer, JobRequest
+from ._claims import ClaimState
+from ._jobs import Attempt, CallerWaiter, Job, PeerWaiter
+
+Waiter = CallerWaiter | PeerWaiter
+
+
+@attrs.frozen(kw_only=True)
+class SubmissionArrived:
+    """A job came from a caller or a peer.
+
+    :param waiter: who gets the answer.
+    :param job: the job.
+    :param is_resubmission: whether the caller says it sent the job before.
+    :param is_forwarded: whether a peer sent it here to be run.
+    """
+
+    waiter: Waiter = CallerWaiter()
+    job: JobRequest = JobRequest()
+    is_resubmission: bool = False
+    is_forwarded: bool = False
+
+
+@attrs.frozen(kw_only=True)
+class WaiterAnswered:
+    """A waiter is to get an answer that belongs to no job of this instance.
+
+    :param waiter: who gets it.
+    :param answer: the answer.
+    """
+
+    waiter: Waiter = CallerWaiter()
+    answer: JobAnswer = JobAnswer()
+
+
+@attrs.frozen(kw_only=True)
+class ClaimWanted:
+    """A job is accepted and needs its claim.
+
+    :param job: the job.
+    """
+
+    job: Job = None
+
+
+@attrs.frozen(kw_only=True)
+class JobReady:
+    """A job's claim is won, or it runs in an outage: it may start.
+
+    :param job: the job.
+    """
+
+    job: Job = None
+
+
+@attrs.frozen(kw_only=True)
+class JobLost:
+    """A job's claim went to another instance.
+
+    :param job: the job.
+    :param claim: the winning claim.
+    """
+
+    job: Job = None
+    claim: Claim = Claim()
+
+
+@attrs.frozen(kw_only=True)
+class JobSettled:
+    """A job has its answer.
+
+    :param job: the job.
+    :param answer: the answer.
+    """
+
+    job: Job = None
+    answer: JobAnswer = JobAnswer()
+
+
+@attrs.frozen(kw_only=True)
+class JobWithdrawn:
+    """A job that never started is given up before its claim was settled.
+
+    :param job: the job.
+    :param answer: the "not run" answer.
+    """
+
+    job: Job = None
+    answer: JobAnswer = JobAnswer()
+
+
+@attrs.frozen(kw_only=True)
+class HomeAsked:
+    """A waiter's job belongs to another instance, which is to be asked.
+
+    :param waiter: who gets the answer.
+    :param job: the job.
+    :param home_id: the instance to ask.
+    :param claim: the claim of that instance, or ``None`` for a forwarded job.
+    :param is_resubmission: whether the caller says it sent the job before.
+    """
+
+    waiter: Waiter = CallerWaiter()
+    job: JobRequest = JobRequest()
+    home_id: str = ""
+    claim: Claim | None = None
+    is_resubmission: bool = False
+
+
+@attrs.frozen(kw_only=True)
+class CancelAsked:
+    """A job to be cancelled belongs to another instance.
+
+    :param waiter: who gets the answer.
+    :param job_id: the job.
+    :param home_id: the instance to ask.
+    """
+
+    waiter: Waiter = CallerWaiter()
+    job_id: str = ""
+    home_id: str = ""
+
+
+@attrs.frozen(kw_only=True)
+class HomeGone:
+    """The home of a waiter's job no longer exists.
+
+    :param waiter: who gets the answer.
+    :param job: the job.
+    :param state: what the log says of the job.
+    """
+
+    waiter: Waiter = CallerWaiter()
+    job: JobRequest = JobRequest()
+    state: ClaimState = None
+
+
+@attrs.frozen(kw_only=True)
+class RecoveryWanted:
+    """A job of a lost home is to be recovered from the backend servers.
+
+    :param job: the job, at this instance.
+    """
+
+    job: Job = None
+
+
+@attrs.frozen(kw_only=True)
+class LogOutageBegan:
+    """The log went out of reach."""
+
+
+@attrs.frozen(kw_only=True)
+class LogOutageEnded:
+    """The log is within reach again."""
+
+
+@attrs.frozen(kw_only=True)
+class DeadlineReached:
+    """Timer: a job's deadline.
+
+    :param job: the job.
+    """
+
+    job: Job = None
+
+
+@attrs.frozen(kw_only=True)
+class AttemptsOverdue:
+    """Timer: attempts of one start should have ended.
+
+    :param attempts: the attempts.
+    :param interval_ms: time to the next look.
+    """
+
+    attempts: tuple[Attempt, ...] = ()
+    interval_ms: float = 0.0
+
+
+@attrs.frozen(kw_only=True)
+class HedgeDue:
+    """Timer: a repeatable task runs longer than expected.
+
+    :param attempt: its attempt.
+    """
+
+    attempt: Attempt = None
+
+
+@attrs.frozen(kw_only=True)
+class RetryDue:
+    """Timer: a delayed task may go back to the queue.
+
+    :param task: the task.
+    """
+
+    task: object = None
+
+
+@attrs.frozen(kw_only=True)
+class PumpDue:
+    """Timer: look for slots again."""
+
+
+@attrs.frozen(kw_only=True)
+class CancelsDue:
+    """Timer: send the gathered cancellations."""
+
+
+@attrs.frozen(kw_only=True)
+class ProbeDue:
+    """Timer: probe a suspected server.
+
+    :param server: the server.
+    """
+
+    server: object = None
+
+
+@attrs.frozen(kw_only=True)
+class QuestionDue:
+    """Timer: look again at a question that another home has not answered.
+
+    :param request_id: the question.
+    """
+
+    request_id: int = 0
+
+
+@attrs.frozen(kw_only=True)
+class FencePatienceOver:
+    """Timer: stop waiting for backend servers that do not tell.
+
+    :param job_id: the job in recovery.
+    """
+
+    job_id: str = ""
+
+
+@attrs.frozen(kw_only=True)
+class HousekeepingDue:
+    """Timer: snapshots, demand, eviction and requests to peers."""
+
+
+@attrs.frozen(kw_only=True)
+class DrainStepDue:
+    """Timer: look whether the drain is done."""
--- /dev/null
+++ b/buckthornshift/core/_run_times.py
@@ -0,0 +1,73 @@
+"""Run times as observed, which correct what callers declare."""
+
+import attrs
+
+GAIN = 0.1
+DEVIATION_GAIN = 0.1
+MIN_RATIO = 0.01
+
+
+@attrs.define(kw_only=True)
+class _Estimate:
+    mean: float = 0.0
+    deviation: float = 0.0
+    n_samples: int = 0
+
+    def add(self, value):
+        if self.n_samples == 0:
+            self.mean = value
+            self.deviation = value / 4
+        error = value - self.mean
+        self.mean += GAIN * error
+        self.deviation += DEVIATION_GAIN * (abs(error) - self.deviation)
+        self.n_samples += 1
+
+
+class RunTimes:
+    """Estimate run times by entry, as mean and mean deviation.
+
+    Where tasks declare a run time, the ratio of the observed to the declared one is
+    kept instead, so that a declaration that is off by a factor is corrected.
+
+    :param default_ms: run time assumed before anything was observed.
+    """
+
+    def __init__(self, default_ms=300.0):
+        self.default_ms = default_ms
+        self._plain_by_entry = {}
+        self._ratio_by_entry = {}
+
+    def note(self, entry_name, declared_ms, run_ms):
+        """Record a task that ended.
+
+        :param entry_name: name of its entry.
+        :param declared_ms: declared run time; 0 if none.
+        :param run_ms: observed run time.
+        """
+        if declared_ms > 0:
+            table, value = self._ratio_by_entry, run_ms / declared_ms
+        else:
+            table, value = self._plain_by_entry, run_ms
+        table.setdefault(entry_name, _Estimate()).add(value)
+
+    def expect_ms(self, entry_name, declared_ms):
+        """Return the expected run time in milliseconds."""
+        if declared_ms > 0:
+            estimate = self._ratio_by_entry.get(entry_name)
+            ratio = 1.0 if estimate is None else max(MIN_RATIO, estimate.mean)
+            return declared_ms * ratio
+        estimate = self._plain_by_entry.get(entry_name)
+        return self.default_ms if estimate is None else max(1.0, estimate.mean)
+
+    def expect_late_ms(self, entry_name, declared_ms, factor):
+        """Return a run time that only a late task exceeds, in milliseconds.
+
+        :param entry_name: name of the entry.
+        :param declared_ms: declared run time; 0 if none.
+        :param factor: multiple of the expected run time, before the spread.
+        """
+        expected = self.expect_ms(entry_name, declared_ms)
+        table = self._ratio_by_entry if declared_ms > 0 else self._plain_by_entry
+        estimate = table.get(entry_name)
+        spread = 0.0 if estimate is None else 4.0 * estimate.deviation
+        return factor * expected + spread * (declared_ms if declared_ms > 0 else 1.0)
--- /dev/null
+++ b/buckthornshift/core/_settings.py
@@ -0,0 +1,134 @@
+"""Settings of the decision core."""
+
+import attrs
+
+
+@attrs.frozen(kw_only=True)
+class LeastLoaded:
+    """Place on the server with most estimated free slots, own share first."""
+
+
+@attrs.frozen(kw_only=True)
+class RandomServer:
+    """Place on a random live server, the baseline without load estimates."""
+
+
+@attrs.frozen(kw_only=True)
+class RoundRobin:
+    """Place on live servers in turn, the second baseline."""
+
+
+PlacementPolicy = LeastLoaded | RandomServer | RoundRobin
+
+
+@attrs.frozen(kw_only=True)
+class CoreSettings:
+    """Parameters of the decisions; times in milliseconds.
+
+    :param log_appends_per_s: appends a second that all entry instances together
+        may make to the log.
+    :param log_outage_after_ms: time without a successful exchange after which
+        the log counts as out of reach.
+    :param heal_grace_ms: time after an outage in which resubmissions of unknown
+        jobs wait for late claims.
+    :param claims_kept_ms: time for which claims are kept in memory.
+    :param max_claims: most claims kept in memory.
+    :param snapshot_interval_ms: time between snapshots on the log; keep it under
+        a third of the log's retention.
+    :param answers_kept_ms: time for which answers are kept in memory.
+    :param max_answers_bytes: most bytes of kept answers.
+    :param max_outcome_bytes: largest answer that is kept on the log.
+    :param id_skew_ms: how far in the future a job id's time may lie.
+    :param max_queued_tasks: most tasks waiting in one instance.
+    :param max_queue_wait_ms: longest expected wait with which a job is accepted.
+    :param deadline_margin: part of the timeout that the estimated completion
+        may use up.
+    :param attach_patience_ms: time given to an unreachable home before its
+        caller is told.
+    :param fence_patience_ms: time given to backend servers to tell what they
+        know of a job whose home is gone.
+    :param default_run_ms: run time assumed for a task of unknown length.
+    :param overdue_factor: multiple of the expected run time after which an
+        attempt is queried.
+    :param overdue_floor_ms: shortest time after which an attempt is queried.
+    :param hedge_factor: multiple of the expected run time after which a
+        repeatable task is started a second time.
+    :param hedge_floor_ms: shortest time after which a task is hedged.
+    :param retry_budget_ratio: retries and hedges allowed per start.
+    :param retry_base_ms: first delay before a retry.
+    :param retry_max_ms: longest delay before a retry.
+    :param busy_base_ms: first pause for a server that refused as busy.
+    :param busy_max_ms: longest such pause.
+    :param load_memory_ms: time constant with which a server's reported load is
+        forgotten.
+    :param eject_after_failures: consecutive failures that eject a server.
+    :param eject_base_ms: first ejection time.
+    :param eject_max_ms: longest ejection time.
+    :param max_ejected_fraction: largest part of the servers that is ejected.
+    :param probe_interval_ms: time between probes of a suspected server.
+    :param n_lost_queries: unanswered queries after which a server counts as lost.
+    :param cancel_window_ms: time over which cancellations are gathered.
+    :param demand_interval_ms: time between exchanges of owner demand.
+    :param demand_settle_ms: time after which a raised share takes effect.
+    :param drain_accept_ms: time for which a draining instance still runs what
+        it is sent; afterwards it forwards to a peer.
+    :param drain_flush_ms: longest wait for the log before a drained exit.
+    :param policy: placement policy.
+    :param are_hedges_on: whether stragglers are hedged.
+    :param are_invariants_on: whether invariants are asserted.
+    """
+
+    log_appends_per_s: float = 300.0
+    log_outage_after_ms: float = 1_000.0
+    heal_grace_ms: float = 2_000.0
+    claims_kept_ms: float = 1_200_000.0
+    max_claims: int = 200_000
+    snapshot_interval_ms: float = 600_000.0
+    answers_kept_ms: float = 300_000.0
+    max_answers_bytes: int = 16_000_000
+    max_outcome_bytes: int = 2_048
+    id_skew_ms: float = 30_000.0
+    max_queued_tasks: int = 5_000
+    max_queue_wait_ms: float = 1_500.0
+    deadline_margin: float = 0.8
+    attach_patience_ms: float = 1_000.0
+    fence_patience_ms: float = 1_000.0
+    default_run_ms: float = 300.0
+    overdue_factor: float = 3.0
+    overdue_floor_ms: float = 1_000.0
+    hedge_factor: float = 3.0
+    hedge_floor_ms: float = 200.0
+    retry_budget_ratio: float = 0.1
+    retry_base_ms: float = 20.0
+    retry_max_ms: float = 1_000.0
+    busy_base_ms: float = 20.0
+    busy_max_ms: float = 320.0
+    load_memory_ms: float = 300.0
+    eject_after_failures: int = 5
+    eject_base_ms: float = 5_000.0
+    eject_max_ms: float = 60_000.0
+    max_ejected_fraction: float = 0.5
+    probe_interval_ms: float = 500.0
+    n_lost_queries: int = 3
+    cancel_window_ms: float = 20.0
+    demand_interval_ms: float = 1_000.0
+    demand_settle_ms: float = 100.0
+    drain_accept_ms: float = 2_000.0
+    drain_flush_ms: float = 5_000.0
+    policy: PlacementPolicy = LeastLoaded()
+    are_hedges_on: bool = True
+    are_invariants_on: bool = True
+
+
+@attrs.frozen(kw_only=True)
+class EntryIdentity:
+    """Who an entry instance is.
+
+    :param instance_id: name of the instance.
+    :param incarnation: unique to this start of the process.
+    :param zone: availability zone.
+    """
+
+    instance_id: str = ""
+    incarnation: str = ""
+    zone: str = ""
--- /dev/null
+++ b/buckthornshift/core/_submission.py
@@ -0,0 +1,411 @@
+"""Submissions and cancellations: known, attached, refused or accepted."""
+
+import msgspec
+
+from ..contracts import (
+    AwaitJob,
+    CancelJob,
+    JobAnswer,
+    JobStatus,
+    Reason,
+    Refusal,
+    compute_digest,
+    refuse_job,
+)
+from ._actions import EventCode
+from ._context import fail_job, fail_unknown
+from ._events import CallerLeft, JobCancelRequested, JobSubmitted, PeerReceived
+from ._jobs import CallerWaiter, Job, JobPhase, PeerWaiter, Task, TaskPhase
+from ._messages import (
+    CancelAsked,
+    ClaimWanted,
+    DeadlineReached,
+    HomeAsked,
+    HomeGone,
+    JobReady,
+    JobSettled,
+    JobWithdrawn,
+    SubmissionArrived,
+    WaiterAnswered,
+)
+
+LOG_RETRY_AFTER_MS = 2_000
+
+
+class Submission:
+    """Decide what becomes of a submission or cancellation.
+
+    :param context: the shared :class:`Context`.
+    """
+
+    def __init__(self, context=None):
+        self.context = context
+
+    def subscribe(self):
+        """Return handlers by message class."""
+        return {
+            JobSubmitted: self.on_submitted,
+            SubmissionArrived: self.on_arrived,
+            JobCancelRequested: self.on_cancel,
+            CallerLeft: self.on_caller_left,
+            PeerReceived: self.on_peer,
+            DeadlineReached: self.on_deadline,
+        }
+
+    def on_submitted(self, event):
+        """Take a job from a caller."""
+        self.context.counters.n_submitted += 1
+        self._submit(
+            SubmissionArrived(
+                waiter=CallerWaiter(caller_ref=event.caller_ref),
+                job=event.job,
+                is_resubmission=event.is_resubmission,
+            )
+        )
+
+    def on_arrived(self, message):
+        """Take a job that another part passes back."""
+        self._submit(message)
+
+    def on_peer(self, event):
+        """Take a question or cancellation from a peer."""
+        match event.message:
+            case AwaitJob():
+                self._submit_for_peer(event.peer_id, event.message)
+            case CancelJob():
+                waiter = PeerWaiter(
+                    peer_id=event.peer_id, request_id=event.message.request_id
+                )
+                self._cancel(waiter, event.message.job_id, is_from_peer=True)
+
+    def on_cancel(self, event):
+        """Cancel a job for a caller."""
+        waiter = CallerWaiter(caller_ref=event.caller_ref)
+        self._cancel(waiter, event.job_id, is_from_peer=False)
+
+    def on_caller_left(self, event):
+        """Forget a caller; its job goes on for a resubmission."""
+        waiter = CallerWaiter(caller_ref=event.caller_ref)
+        for job in self.context.jobs.by_id.values():
+            if waiter in job.waiters:
+                job.waiters.remove(waiter)
+                return
+
+    def on_deadline(self, message):
+        """Answer a job whose deadline has come."""
+        job = message.job
+        if job.answer is not None:
+            return
+        if job.phase is JobPhase.CLAIMING:
+            detail = "the deadline came before the claim was settled"
+            answer = fail_job(job, Reason.DEADLINE_PAST, detail)
+            self.context.post(JobWithdrawn(job=job, answer=answer))
+            return
+        is_lost = any(a.is_lost for task in job.tasks for a in task.list_open())
+        reason = Reason.DEADLINE_EXCEEDED
+        if not job.may_have_started():
+            reason = Reason.DEADLINE_PAST
+        elif is_lost and not job.entry.is_repeatable:
+            reason = Reason.OUTCOME_UNKNOWN
+        answer = fail_job(job, reason, "the deadline came first")
+        self.context.post(JobSettled(job=job, answer=answer))
+
+    def _submit_for_peer(self, peer_id, message):
+        waiter = PeerWaiter(peer_id=peer_id, request_id=message.request_id)
+        self._submit(
+            SubmissionArrived(
+                waiter=waiter,
+                job=message.job,
+                is_resubmission=message.is_resubmission,
+                is_forwarded=message.is_forwarded,
+            )
+        )
+
+    def _submit(self, arrival):
+        digest = compute_digest(arrival.job)
+        if self._join_known(arrival, digest):
+            return
+        if self._follow_claim(arrival, digest):
+            return
+        refusal = self._check_new(arrival)
+        if refusal is not None:
+            self._refuse(arrival, refusal)
+            return
+        self._accept(arrival, digest)
+
+    def _join_known(self, arrival, digest):
+        job = self.context.jobs.find(arrival.job.job_id)
+        if job is None:
+            return False
+        if job.digest != digest:
+            self._refuse_conflict(arrival)
+        elif job.answer is not None:
+            self._answer(arrival.waiter, job.answer)
+        elif arrival.waiter not in job.waiters:
+            job.waiters.append(arrival.waiter)
+            self.context.note(EventCode.JOB_ATTACHED, job.job_id)
+        return True
+
+    def _follow_claim(self, arrival, digest):
+        context = self.context
+        state = context.claims.find(arrival.job.job_id)
+        if state is None:
+            return False
+        claim = state.claim
+        if claim.digest != digest:
+            self._refuse_conflict(arrival)
+            return True
+        if state.is_ended:
+            self._answer(arrival.waiter, decode_outcome(arrival.job.job_id, state))
+            return True
+        identity = context.identity
+        if claim.incarnation == identity.incarnation:
+            return self._follow_own_claim(arrival)
+        if context.peers.is_alive(claim.home, claim.incarnation):
+            context.post(
+                HomeAsked(
+                    waiter=arrival.waiter,
+                    job=arrival.job,
+                    home_id=claim.home,
+                    claim=claim,
+                    is_resubmission=arrival.is_resubmission,
+                )
+            )
+            return True
+        context.post(HomeGone(waiter=arrival.waiter, job=arrival.job, state=state))
+        return True
+
+    def _follow_own_claim(self, arrival):
+        if arrival.job.job_id in self.context.withdrawn_ids:
+            return False
+        answer = fail_unknown(
+            arrival.job.job_id,
+            Reason.ANSWER_NOT_KEPT,
+            "the job was answered, and the answer is no longer kept",
+        )
+        self._answer(arrival.waiter, answer)
+        return True
+
+    def _check_new(self, arrival):
+        context = self.context
+        job = arrival.job
+        refusal = context.admission.check_id(
+            job.job_id, context.claims.floor_ms, context.wall_ms
+        )
+        if refusal is not None:
+            return refusal
+        entry = context.catalogue.find_entry(job.entry)
+        if isinstance(entry, Refusal):
+            return entry
+        return context.admission.check_limits(job, entry)
+
+    def _accept(self, arrival, digest):
+        context = self.context
+        is_late_drain = (
+            context.is_draining
+            and context.now_ms - context.drain_started_ms
+            >= context.settings.drain_accept_ms
+        )
+        if is_late_drain:
+            self._forward_for_drain(arrival)
+            return
+        entry = context.catalogue.find_entry(arrival.job.entry)
+        is_out = context.log_health.is_out or not context.claims.is_ready
+        if is_out:
+            self._accept_in_outage(arrival, digest, entry)
+            return
+        if self._is_in_heal_grace(arrival, entry):
+            self._refuse(arrival, _refuse_log("late claims are still being read"))
+            return
+        job = self._make_job(arrival, digest, entry)
+        if job is not None:
+            context.post(ClaimWanted(job=job))
+
+    def _is_in_heal_grace(self, arrival, entry):
+        healed_ms = self.context.log_health.healed_ms
+        if healed_ms is None or not arrival.is_resubmission:
+            return False
+        is_recent = self.context.now_ms - healed_ms < (
+            self.context.settings.heal_grace_ms
+        )
+        return is_recent and entry.is_repeatable
+
+    def _accept_in_outage(self, arrival, digest, entry):
+        context = self.context
+        may_serve = entry.is_repeatable and entry.is_served_in_outage
+        if not may_serve or not context.log_health.is_out:
+            self._refuse(arrival, _refuse_log("the claim cannot be recorded now"))
+            return
+        if arrival.is_resubmission:
+            detail = "the job is not known here, and the log cannot be asked"
+            self._refuse(arrival, _refuse_log(detail))
+            return
+        home_id = context.peers.rank_zone_homes(arrival.job.job_id)[0]
+        if home_id != context.identity.instance_id and not arrival.is_forwarded:
+            self._forward(arrival, home_id)
+            return
+        job = self._make_job(arrival, digest, entry)
+        if job is not None:
+            job.is_outage_run = True
+            context.note(EventCode.JOB_RUN_IN_OUTAGE, job.job_id)
+            context.post(JobReady(job=job))
+
+    def _forward_for_drain(self, arrival):
+        target = None
+        if not arrival.is_forwarded:
+            target = self.context.peers.find_forward_target(arrival.job.job_id)
+        if target is None:
+            detail = "the instance is stopping"
+            refusal = Refusal(reason=Reason.DRAINING, detail=detail, retry_after_ms=500)
+            self._refuse(arrival, refusal)
+            return
+        self._forward(arrival, target)
+
+    def _forward(self, arrival, peer_id):
+        self.context.counters.n_forwarded += 1
+        self.context.post(
+            HomeAsked(
+                waiter=arrival.waiter,
+                job=arrival.job,
+                home_id=peer_id,
+                is_resubmission=arrival.is_resubmission,
+            )
+        )
+
+    def _make_job(self, arrival, digest, entry):
+        context = self.context
+        job = build_job(context, arrival, digest, entry)
+        refusal = context.admission.check_room(
+            job.tasks, arrival.job.timeout_ms, context.work_in_flight_ms
+        )
+        if refusal is not None:
+            self._refuse(arrival, refusal)
+            return None
+        register_job(context, job)
+        return job
+
+    def _cancel(self, waiter, job_id, is_from_peer):
+        context = self.context
+        job = context.jobs.find(job_id)
+        if job is None:
+            self._cancel_elsewhere(waiter, job_id, is_from_peer)
+            return
+        if job.answer is not None:
+            self._answer(waiter, job.answer)
+            return
+        open_tasks = [t for t in job.tasks if t.phase is not TaskPhase.ENDED]
+        is_all_started = all(task.list_open() for task in open_tasks)
+        if is_all_started and not job.entry.is_repeatable and job.is_claim_won:
+            answer = fail_unknown(
+                job_id,
+                Reason.ALREADY_STARTED,
+                "every task has started and may not be stopped",
+            )
+            self._answer(waiter, answer)
+            return
+        context.note(EventCode.JOB_CANCELLED, job_id)
+        job.waiters.append(waiter)
+        answer = fail_job(job, Reason.CANCELLED, "cancelled by the caller")
+        context.post(JobSettled(job=job, answer=answer))
+
+    def _cancel_elsewhere(self, waiter, job_id, is_from_peer):
+        context = self.context
+        state = context.claims.find(job_id)
+        if state is not None and state.is_ended:
+            self._answer(waiter, decode_outcome(job_id, state))
+            return
+        home_id = None if state is None else state.claim.home
+        if home_id in context.peers.by_id and not is_from_peer:
+            context.post(CancelAsked(waiter=waiter, job_id=job_id, home_id=home_id))
+            return
+        answer = fail_unknown(
+            job_id, Reason.UNKNOWN_JOB, "the job is not known to this instance"
+        )
+        self._answer(waiter, answer)
+
+    def _refuse_conflict(self, arrival):
+        refusal = Refusal(
+            reason=Reason.ID_CONFLICT,
+            detail="job_id: got a different job under a used id, "
+            "expected the same job or a new id",
+        )
+        self._refuse(arrival, refusal)
+
+    def _refuse(self, arrival, refusal):
+        job_id = arrival.job.job_id
+        self.context.note(EventCode.JOB_REFUSED, job_id, refusal.reason)
+        if refusal.reason is Reason.ID_TOO_OLD:
+            answer = fail_unknown(job_id, refusal.reason, refusal.detail)
+        else:
+            answer = refuse_job(job_id, refusal)
+        self._answer(arrival.waiter, answer)
+
+    def _answer(self, waiter, answer):
+        self.context.post(WaiterAnswered(waiter=waiter, answer=answer))
+
+
+def build_job(context, arrival, digest, entry, term=0):
+    """Build a job at its home from a submission.
+
+    :param context: the shared :class:`Context`.
+    :param arrival: the :class:`SubmissionArrived`.
+    :param digest: digest of the job.
+    :param entry: its catalogue entry.
+    :param term: term of the claim under which it is to run.
+    """
+    request = arrival.job
+    job = Job(
+        request=request,
+        digest=digest,
+        entry=entry,
+        accepted_ms=context.now_ms,
+        deadline_ms=context.now_ms + request.timeout_ms,
+        term=term,
+        waiters=[arrival.waiter],
+        n_open_tasks=len(request.tasks),
+    )
+    job.tasks = [_build_task(context, job, spec) for spec in request.tasks]
+    return job
+
+
+def register_job(context, job):
+    """Enter an accepted job and watch its deadline.
+
+    :param context: the shared :class:`Context`.
+    :param job: the job.
+    """
+    context.jobs.add(job)
+    context.note(EventCode.JOB_ACCEPTED, job.job_id)
+    job.deadline_timer = context.start_timer(
+        job.deadline_ms - context.now_ms, DeadlineReached(job=job)
+    )
+
+
+def decode_outcome(job_id, state):
+    """Return the answer that the log keeps for an ended job.
+
+    :param job_id: the job.
+    :param state: its :class:`ClaimState`.
+    """
+    if state.answer:
+        return msgspec.msgpack.decode(state.answer, type=JobAnswer)
+    return JobAnswer(
+        job_id=job_id,
+        status=JobStatus.FAILED,
+        reason=Reason.ANSWER_NOT_KEPT,
+        detail="the job was answered, and the answer was too large to keep",
+        may_have_run=True,
+    )
+
+
+def _build_task(context, job, spec):
+    expected_ms = context.run_times.expect_ms(job.request.entry, spec.run_time_ms)
+    return Task(spec=spec, job=job, expected_ms=expected_ms)
+
+
+def _refuse_log(detail):
+    return Refusal(
+        reason=Reason.LOG_UNREACHABLE,
+        detail=detail,
+        retry_after_ms=LOG_RETRY_AFTER_MS,
+    )
--- /dev/null
+++ b/buckthornshift/documents/__init__.py
@@ -0,0 +1,21 @@
+"""Documents that operators write: JSON with comments, catalogues."""
+
+from ._catalogue import (
+    MAX_NAME_CHARS,
+    check_catalogue,
+    parse_catalogue,
+    render_change,
+)
+from ._comments import (
+    parse_json_with_comments,
+    read_text,
+)
+
+__all__ = [
+    "MAX_NAME_CHARS",
+    "check_catalogue",
+    "parse_catalogue",
+    "parse_json_with_comments",
+    "read_text",
+    "render_change",
+]
--- /dev/null
+++ b/buckthornshift/links/_caller_server.py
@@ -0,0 +1,185 @@
+"""HTTP interface for callers and operators of one entry instance."""
+
+import asyncio
+import importlib.resources
+import math
+
+import msgspec
+from blacksheep import Content, Response
+
+from ..contracts import (
+    JobStatus,
+    Reason,
+    Refusal,
+    parse_job,
+    refuse_job,
+)
+from ..core import JobCancelRequested, JobSubmitted
+from ._web_server import WebServer, make_app
+
+MAX_BODY_BYTES = 24_000_000
+RESUBMISSION_HEADER = b"resubmission"
+_STATUS_BY_REASON = {
+    Reason.BAD_REQUEST: 400,
+    Reason.UNKNOWN_ENTRY: 404,
+    Reason.UNKNOWN_JOB: 404,
+    Reason.ID_CONFLICT: 409,
+    Reason.CANCELLED: 409,
+    Reason.ALREADY_STARTED: 409,
+    Reason.ID_TOO_OLD: 410,
+    Reason.ANSWER_NOT_KEPT: 410,
+    Reason.TOO_MANY_TASKS: 422,
+    Reason.TIMEOUT_TOO_LONG: 422,
+    Reason.INFEASIBLE: 422,
+    Reason.ID_IN_FUTURE: 422,
+    Reason.OVER_LIMIT: 429,
+    Reason.TASK_FAILED: 502,
+    Reason.OUTCOME_UNKNOWN: 502,
+    Reason.OVERLOADED: 503,
+    Reason.DRAINING: 503,
+    Reason.LOG_UNREACHABLE: 503,
+    Reason.CATALOGUE_NOT_READY: 503,
+    Reason.HOME_UNREACHABLE: 503,
+    Reason.DEADLINE_PAST: 504,
+    Reason.DEADLINE_EXCEEDED: 504,
+}
+
+
+class CallerServer:
+    """Turn requests of callers into events and answers into responses.
+
+    :param host: IP address to listen on.
+    :param port: TCP port; 0 for any.
+    :param post: takes the events that arise.
+    :param describe: object with ``dump``, ``describe_job``, ``make_catalogue`` and
+        ``render_metrics``, which answer operators.
+    """
+
+    def __init__(self, host="127.0.0.1", port=0, post=None, describe=None):
+        self.post = post
+        self.describe = describe
+        self._waiting_by_ref = {}
+        self._next_ref = 0
+        self._web = WebServer(app=self._make_app(), host=host, port=port)
+
+    @property
+    def bound_port(self):
+        """Port that is listened on."""
+        return self._web.bound_port
+
+    async def start(self):
+        """Begin to listen."""
+        await self._web.start()
+
+    async def stop(self):
+        """Stop listening after the requests in flight are answered."""
+        await self._web.stop()
+
+    def answer(self, caller_ref, answer):
+        """Answer a waiting request.
+
+        :param caller_ref: identifies the request.
+        :param answer: the :class:`~buckthornshift.contracts.JobAnswer`.
+        """
+        waiting = self._waiting_by_ref.pop(caller_ref, None)
+        if waiting is not None and not waiting.done():
+            waiting.set_result(answer)
+
+    def _make_app(self):
+        return make_app(
+            (
+                ("PUT", "/v1/jobs/{job_id}", self._submit),
+                ("DELETE", "/v1/jobs/{job_id}", self._cancel),
+                ("GET", "/v1/jobs/{job_id}", self._show_job),
+                ("GET", "/v1/catalogue", self._show_catalogue),
+                ("GET", "/state", self._show_state),
+                ("GET", "/metrics", self._show_metrics),
+                ("GET", "/healthz", self._show_health),
+                ("GET", "/openapi.json", self._show_openapi),
+            )
+        )
+
+    async def _submit(self, request):
+        job_id = request.route_values["job_id"]
+        length = request.get_first_header(b"content-length")
+        if length is not None and int(length) > MAX_BODY_BYTES:
+            detail = f"body: got {int(length)} bytes, expected at most {MAX_BODY_BYTES}"
+            return _respond(refuse_job(job_id, Refusal(detail=detail)))
+        body = await request.read()
+        job = parse_job(job_id, body or b"")
+        if isinstance(job, Refusal):
+            return _respond(refuse_job(job_id, job))
+        is_resubmission = request.get_first_header(RESUBMISSION_HEADER) is not None
+        caller_ref, waiting = self._make_waiting()
+        self.post(
+            JobSubmitted(
+                caller_ref=caller_ref, job=job, is_resubmission=is_resubmission
+            )
+        )
+        return _respond(await waiting)
+
+    async def _cancel(self, request):
+        caller_ref, waiting = self._make_waiting()
+        job_id = request.route_values["job_id"]
+        self.post(JobCancelRequested(caller_ref=caller_ref, job_id=job_id))
+        return _respond(await waiting)
+
+    async def _show_job(self, request):
+        described = self.describe.describe_job(request.route_values["job_id"])
+        return _respond_json(404 if described is None else 200, described)
+
+    async def _show_catalogue(self, request):
+        return _respond_json(200, self.describe.make_catalogue())
+
+    async def _show_state(self, request):
+        return _respond_json(200, self.describe.dump())
+
+    async def _show_metrics(self, request):
+        content = Content(b"text/plain; version=0.0.4", self.describe.render_metrics())
+        return Response(200, content=content)
+
+    async def _show_health(self, request):
+        is_ready = self.describe.is_ready()
+        return _respond_json(200 if is_ready else 503, {"is_ready": is_ready})
+
+    async def _show_openapi(self, request):
+        folder = importlib.resources.files("buckthornshift")
+        body = folder.joinpath("data/openapi.json").read_bytes()
+        return Response(200, content=Content(b"application/json", body))
+
+    def _make_waiting(self):
+        self._next_ref += 1
+        waiting = asyncio.get_running_loop().create_future()
+        self._waiting_by_ref[self._next_ref] = waiting
+        return self._next_ref, waiting
+
+
+def find_status(answer):
+    """Return the HTTP status code for an answer.
+
+    :param answer: a :class:`~buckthornshift.contracts.JobAnswer`.
+    """
+    if answer.status is JobStatus.COMPLETE:
+        return 200
+    return _STATUS_BY_REASON.get(answer.reason, 500)
+
+
+def _respond(answer):
+    headers = []
+    if answer.retry_after_ms > 0:
+        seconds = math.ceil(answer.retry_after_ms / 1000)
+        headers.append((b"retry-after", str(seconds).encode()))
+    content = Content(b"application/json", msgspec.json.encode(answer))
+    return Response(find_status(answer), headers, content)
+
+
+def _respond_json(status, value):
+    return Response(status, content=Content(b"application/json", encode_plain(value)))
+
+
+def encode_plain(value):
+    """Encode plain values and attrs objects as JSON.
+
+    :param value: what to encode.
+    """
+    return msgspec.json.encode(value)
--- /dev/null
+++ b/buckthornshift/links/_http_connection.py
@@ -0,0 +1,231 @@
+"""One HTTP/1.1 client connection that never sends a request twice by itself."""
+
+import asyncio
+
+import h11
+
+from ..contracts import BuckthornshiftError
+
+READ_BYTES = 65_536
+
+
+class NotSentError(BuckthornshiftError):
+    """The request certainly did not reach the other end."""
+
+
+class ConnectionLostError(BuckthornshiftError):
+    """The connection ended after bytes were sent: the outcome is open."""
+
+
+class HttpStatusError(BuckthornshiftError):
+    """The other end answered with an error status.
+
+    :param status: HTTP status code.
+    :param body: body of the answer.
+    """
+
+    def __init__(self, status=0, body=b""):
+        super().__init__(f"HTTP status {status}")
+        self.status = status
+        self.body = body
+
+
+class HttpConnection:
+    """A connection to one host, used for one request at a time.
+
+    :param host: IP address.
+    :param port: TCP port.
+    :param connect_timeout_s: longest time to connect, in seconds.
+    """
+
+    def __init__(self, host="127.0.0.1", port=0, connect_timeout_s=1.0):
+        self.host = host
+        self.port = port
+        self.connect_timeout_s = connect_timeout_s
+        self._reader = None
+        self._writer = None
+        self._protocol = None
+
+    @property
+    def is_open(self):
+        """Whether the connection can take another request."""
+        if self._writer is None or self._writer.is_closing():
+            return False
+        return self._protocol.our_state is h11.IDLE and not self._reader.at_eof()
+
+    async def connect(self):
+        """Connect.
+
+        :raises NotSentError: if the other end cannot be reached in time.
+        """
+        try:
+            self._reader, self._writer = await asyncio.wait_for(
+                asyncio.open_connection(self.host, self.port), self.connect_timeout_s
+            )
+        except (OSError, TimeoutError) as error:
+            raise NotSentError(f"{self.host}:{self.port}: {error}") from error
+        self._protocol = h11.Connection(h11.CLIENT)
+
+    async def send(self, method, path, body=b"", headers=()):
+        """Send one request.
+
+        :param method: HTTP method.
+        :param path: path with query.
+        :param body: request body.
+        :param headers: further (name, value) pairs.
+        :raises ConnectionLostError: if the connection broke.
+        """
+        all_headers = [
+            ("host", f"{self.host}:{self.port}"),
+            ("content-length", str(len(body))),
+            *headers,
+        ]
+        request = h11.Request(method=method, target=path, headers=all_headers)
+        parts = [self._protocol.send(request)]
+        if body:
+            parts.append(self._protocol.send(h11.Data(data=body)))
+        parts.append(self._protocol.send(h11.EndOfMessage()))
+        self._writer.write(b"".join(parts))
+        try:
+            await self._writer.drain()
+        except OSError as error:
+            raise ConnectionLostError(str(error)) from error
+
+    async def read_status(self):
+        """Return the status code of the answer."""
+        event = await self._next_event()
+        while isinstance(event, h11.InformationalResponse):
+            event = await self._next_event()
+        return event.status_code
+
+    async def iter_body(self):
+        """Yield the answer's body as it arrives."""
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.EndOfMessage):
+                self._finish_cycle()
+                return
+            yield bytes(event.data)
+
+    async def read_body(self):
+        """Return the whole body of the answer."""
+        chunks = [chunk async for chunk in self.iter_body()]
+        return b"".join(chunks)
+
+    def close(self):
+        """Close the connection at once."""
+        if self._writer is not None:
+            self._writer.close()
+
+    def _finish_cycle(self):
+        is_reusable = (
+            self._protocol.our_state is h11.DONE
+            and self._protocol.their_state is h11.DONE
+        )
+        if is_reusable:
+            self._protocol.start_next_cycle()
+        else:
+            self.close()
+
+    async def _next_event(self):
+        while True:
+            try:
+                event = self._protocol.next_event()
+            except h11.RemoteProtocolError as error:
+                raise ConnectionLostError(str(error)) from error
+            if event is h11.NEED_DATA:
+                await self._feed()
+                continue
+            if isinstance(event, h11.ConnectionClosed) or event is h11.PAUSED:
+                raise ConnectionLostError("closed by the other end")
+            return event
+
+    async def _feed(self):
+        try:
+            data = await self._reader.read(READ_BYTES)
+        except OSError as error:
+            raise ConnectionLostError(str(error)) from error
+        self._protocol.receive_data(data)
+
+
+class HttpPool:
+    """Idle connections to one host, each taken by one request at a time.
+
+    :param host: IP address.
+    :param port: TCP port.
+    :param max_idle: most idle connections kept.
+    :param connect_timeout_s: longest time to connect, in seconds.
+    """
+
+    def __init__(self, host="127.0.0.1", port=0, max_idle=8, connect_timeout_s=1.0):
+        self.host = host
+        self.port = port
+        self.max_idle = max_idle
+        self.connect_timeout_s = connect_timeout_s
+        self._idle = []
+
+    async def take(self):
+        """Return an open connection.
+
+        :raises NotSentError: if the host cannot be reached.
+        """
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.is_open:
+                return connection
+            connection.close()
+        return await self.open_new()
+
+    async def open_new(self):
+        """Return a new connection, whatever is idle."""
+        connection = HttpConnection(
+            host=self.host, port=self.port, connect_timeout_s=self.connect_timeout_s
+        )
+        await connection.connect()
+        return connection
+
+    def give_back(self, connection):
+        """Keep a connection for the next request if it is still good."""
+        if connection.is_open and len(self._idle) < self.max_idle:
+            self._idle.append(connection)
+        else:
+            connection.close()
+
+    def close(self):
+        """Close the idle connections."""
+        for connection in self._idle:
+            connection.close()
+        self._idle.clear()
+
+
+async def call(pool, method, path, body=b"", headers=(), timeout_s=2.0, is_new=False):
+    """Send one request and read its whole answer.
+
+    :param pool: the :class:`HttpPool`.
+    :param method: HTTP method.
+    :param path: path with query.
+    :param body: request body.
+    :param headers: further (name, value) pairs.
+    :param timeout_s: longest time for the whole call, in seconds.
+    :param is_new: whether to use a new connection.
+    :returns: the body.
+    :raises NotSentError: if nothing was sent.
+    :raises ConnectionLostError: if no whole answer came in time.
+    :raises HttpStatusError: if the status is 400 or above.
+    """
+    connection = await (pool.open_new() if is_new else pool.take())
+    try:
+        async with asyncio.timeout(timeout_s):
+            await connection.send(method, path, body, headers)
+            status = await connection.read_status()
+            answer = await connection.read_body()
+    except TimeoutError as error:
+        connection.close()
+        raise ConnectionLostError("no answer in time") from error
+    except (ConnectionLostError, asyncio.CancelledError):
+        connection.close()
+        raise
+    pool.give_back(connection)
+    if status >= 400:
+        raise HttpStatusError(status=status, body=answer)
+    return answer
--- /dev/null
+++ b/buckthornshift/links/_web_server.py
@@ -0,0 +1,99 @@
+"""A blacksheep application on a port, inside a running event loop."""
+
+import asyncio
+import contextlib
+import socket
+
+import uvicorn
+from blacksheep import Application, Request, Router
+
+from ..contracts import BuckthornshiftError
+
+STOP_TIMEOUT_S = 5
+
+
+class PortInUseError(BuckthornshiftError):
+    """The wanted address cannot be listened on."""
+
+
+class _Server(uvicorn.Server):
+    """Leave signals to the process that runs the server."""
+
+    @contextlib.contextmanager
+    def capture_signals(self):
+        yield
+
+
+class WebServer:
+    """Serve an application until told to stop.
+
+    :param app: a blacksheep application.
+    :param host: IP address to listen on.
+    :param port: TCP port; 0 for any.
+    """
+
+    def __init__(self, app=None, host="127.0.0.1", port=0):
+        self.app = app
+        self.host = host
+        self.port = port
+        self.bound_port = 0
+        self._server = None
+        self._task = None
+
+    async def start(self):
+        """Begin to listen.
+
+        :raises PortInUseError: if the address cannot be listened on.
+        """
+        listener = self._make_listener()
+        self.bound_port = listener.getsockname()[1]
+        config = uvicorn.Config(
+            self.app,
+            log_level="error",
+            access_log=False,
+            http="httptools",
+            ws="none",
+            loop="none",
+            timeout_keep_alive=60,
+            timeout_graceful_shutdown=STOP_TIMEOUT_S,
+        )
+        self._server = _Server(config)
+        self._task = asyncio.ensure_future(self._server.serve(sockets=[listener]))
+        while not self._server.started:
+            if self._task.done():
+                self._task.result()
+            await asyncio.sleep(0.005)
+
+    async def stop(self):
+        """Stop listening after the requests in flight are answered."""
+        self._server.should_exit = True
+        await self._task
+
+    def _make_listener(self):
+        listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            listener.bind((self.host, self.port))
+        except OSError as error:
+            listener.close()
+            raise PortInUseError(f"{self.host}:{self.port}: {error}") from error
+        return listener
+
+
+def make_app(routes):
+    """Build an application from its routes.
+
+    :param routes: (method, path, handler) triples; a handler takes the request.
+    """
+    app = Application(router=Router())
+    for method, path, handler in routes:
+        app.router.add(method, path, _wrap_handler(handler))
+    return app
+
+
+def _wrap_handler(handler):
+    # The router marks handlers with attributes, which bound methods do not take.
+    async def handle(request: Request):
+        return await handler(request)
+
+    return handle
--- /dev/null
+++ b/buckthornshift/standins/__init__.py
@@ -0,0 +1,18 @@
+"""Small stand-ins for the systems around: the platform and backend servers."""
+
+from ._backend_model import BackendFaults, BackendModel
+from ._backend_server import BackendStandin, BackendStandinSettings
+from ._platform_model import ListModel, LogModel, PlatformFaults
+from ._platform_server import PlatformStandin, PlatformStandinSettings
+
+__all__ = [
+    "BackendFaults",
+    "BackendModel",
+    "BackendStandin",
+    "BackendStandinSettings",
+    "ListModel",
+    "LogModel",
+    "PlatformFaults",
+    "PlatformStandin",
+    "PlatformStandinSettings",
+]
--- /dev/null
+++ b/buckthornshift/standins/_platform_model.py
@@ -0,0 +1,131 @@
+"""Model of the platform's log and instance list; shared by all stand-ins."""
+
+import attrs
+
+from ..contracts import InstanceList, LogBatch, LogRecord
+
+MAX_READ_RECORDS = 1_000
+
+
+@attrs.define(kw_only=True)
+class PlatformFaults:
+    """Faults that the platform stand-in can be told to show.
+
+    :param is_log_down: appends and reads fail.
+    :param extra_sync_ms: added to each append.
+    :param n_lose_replies: appends that take effect but whose reply is lost.
+    :param list_lag_ms: time by which the list lags.
+    :param is_list_down: reads of the list fail.
+    """
+
+    is_log_down: bool = False
+    extra_sync_ms: float = 0.0
+    n_lose_replies: int = 0
+    list_lag_ms: float = 0.0
+    is_list_down: bool = False
+
+
+@attrs.define(kw_only=True)
+class _Stream:
+    earliest: int = 0
+    bodies: list = attrs.field(factory=list)
+    times_ms: list = attrs.field(factory=list)
+
+    @property
+    def head(self):
+        return self.earliest + len(self.bodies)
+
+
+class LogModel:
+    """Append-only streams with offsets and limited retention.
+
+    :param retention_ms: time for which records are kept.
+    """
+
+    def __init__(self, retention_ms=3_600_000.0):
+        self.retention_ms = retention_ms
+        self.n_appends = 0
+        self.n_bytes = 0
+        self._streams_by_name = {}
+
+    def append(self, stream, body, now_ms):
+        """Append a record; return its offset."""
+        state = self._streams_by_name.setdefault(stream, _Stream())
+        offset = state.head
+        state.bodies.append(body)
+        state.times_ms.append(now_ms)
+        self.n_appends += 1
+        self.n_bytes += len(body)
+        return offset
+
+    def read(self, stream, offset):
+        """Return records from an offset on, as many as one read may hold."""
+        state = self._streams_by_name.setdefault(stream, _Stream())
+        first = max(offset, state.earliest)
+        bodies = state.bodies[first - state.earliest :][:MAX_READ_RECORDS]
+        records = tuple(
+            LogRecord(offset=first + index, body=body)
+            for index, body in enumerate(bodies)
+        )
+        return LogBatch(
+            earliest=state.earliest,
+            next_offset=first + len(records),
+            head=state.head,
+            records=records,
+        )
+
+    def get_head(self, stream):
+        """Return the offset that the next append will get."""
+        return self._streams_by_name.setdefault(stream, _Stream()).head
+
+    def trim(self, now_ms):
+        """Drop records past retention."""
+        for state in self._streams_by_name.values():
+            n_old = 0
+            for time_ms in state.times_ms:
+                if now_ms - time_ms <= self.retention_ms:
+                    break
+                n_old += 1
+            del state.bodies[:n_old]
+            del state.times_ms[:n_old]
+            state.earliest += n_old
+
+
+class ListModel:
+    """List of live and leaving instances, which can lag behind reality."""
+
+    def __init__(self):
+        self.by_id = {}
+        self.version = 0
+        self._history = []
+
+    def put(self, record, now_ms):
+        """Add or replace an instance."""
+        if self.by_id.get(record.instance_id) != record:
+            self.by_id[record.instance_id] = record
+            self._note(now_ms)
+
+    def remove(self, instance_id, now_ms):
+        """Take an instance off the list."""
+        if self.by_id.pop(instance_id, None) is not None:
+            self._note(now_ms)
+
+    def read(self, now_ms, lag_ms=0.0):
+        """Return the list as it was some time ago.
+
+        :param now_ms: the current time.
+        :param lag_ms: how far the list lags.
+        """
+        current = InstanceList()
+        for time_ms, listed in self._history:
+            if time_ms <= now_ms - lag_ms:
+                current = listed
+        return current
+
+    def _note(self, now_ms):
+        self.version += 1
+        listed = InstanceList(
+            version=self.version, instances=tuple(self.by_id.values())
+        )
+        self._history.append((now_ms, listed))
+        del self._history[:-200]
--- /dev/null
+++ b/features/environment.py
@@ -0,0 +1,14 @@
+"""Start and stop systems on loopback for the scenarios."""
+
+import asyncio
+
+
+def before_scenario(context, scenario):
+    context.loop = asyncio.new_event_loop()
+    context.system = None
+
+
+def after_scenario(context, scenario):
+    if context.system is not None:
+        context.loop.run_until_complete(context.system.stop())
+    context.loop.close()
