--- /dev/null
+++ b/buckthornshift/proving/_oracle.py
@@ -0,0 +1,239 @@
+"""What must hold over a whole run, seen from outside the cores."""
+
+import attrs
+
+from ..contracts import JobStatus
+from ..core import EventCode, Invariant, InvariantError
+
+LEAVING_GRACE_MS = 4_000.0
+ANSWER_GRACE_MS = 2_000.0
+
+
+@attrs.define(kw_only=True)
+class SeenStart:
+    """One real start of a task on a server.
+
+    :param server_id: the server.
+    :param incarnation: its process.
+    :param starter: incarnation of the entry instance that sent it.
+    :param term: term of the claim.
+    :param state: last known state of the attempt.
+    """
+
+    server_id: str = ""
+    incarnation: str = ""
+    starter: str = ""
+    term: int = 0
+
+
+@attrs.define(kw_only=True)
+class SeenRequest:
+    """One request of a caller.
+
+    :param job: the job.
+    :param node_id: the instance it went to.
+    :param sent_ms: when it was sent.
+    :param answer: the answer, or ``None``.
+    :param is_lost: whether its connection ended without an answer.
+    :param is_cancel: whether it is a cancellation.
+    """
+
+    job: object = None
+    is_repeatable: bool = False
+    node_id: str = ""
+    sent_ms: float = 0.0
+    answer: object = None
+    is_lost: bool = False
+    is_cancel: bool = False
+
+
+@attrs.define(kw_only=True)
+class RunCounts:
+    """Counts of a run, for reports.
+
+    :param n_jobs: jobs.
+    :param n_requests: requests of callers.
+    :param n_starts: real starts.
+    :param n_faults: faults.
+    :param n_complete: answers "complete".
+    :param n_failed: answers "failed".
+    :param n_not_run: answers "not run".
+    :param n_lost: requests without an answer.
+    """
+
+    n_jobs: int = 0
+    n_requests: int = 0
+    n_starts: int = 0
+    n_faults: int = 0
+    n_complete: int = 0
+    n_failed: int = 0
+    n_not_run: int = 0
+    n_lost: int = 0
+
+
+class Oracle:
+    """Record starts and answers, and check the promises at the end.
+
+    :param clock: the :class:`VirtualClock`.
+    """
+
+    def __init__(self, clock=None):
+        self.clock = clock
+        self.requests = []
+        self.starts_by_task = {}
+        self.outage_jobs = set()
+        self.taken_over = set()
+        self.version_by_process = {}
+        self.lost_processes = set()
+
+    def note_entry_started(self, node):
+        """Record a new process of an entry instance."""
+        self.version_by_process[node.record.incarnation] = -1
+
+    def note_entry_ended(self, node):
+        """Record that a process of an entry instance ended."""
+        self.lost_processes.add(node.record.incarnation)
+        for request in self.requests:
+            is_its = request.node_id == node.record.incarnation
+            if is_its and request.answer is None:
+                request.is_lost = True
+
+    def note_server_ended(self, model):
+        """Record that a process of a backend server ended."""
+
+    def note_drained(self, node):
+        """Check that a drained process leaves no request without an answer."""
+        for request in self.requests:
+            is_its = request.node_id == node.record.incarnation
+            if is_its and request.answer is None:
+                self._fail(Invariant.DRAIN_CUTS_NOTHING, request.job.job_id)
+
+    def note_event(self, node, event):
+        """Record events that allow what is otherwise forbidden."""
+        if event.code is EventCode.JOB_RUN_IN_OUTAGE:
+            self.outage_jobs.add(event.subject)
+        if event.code is EventCode.JOB_TAKEN_OVER:
+            self.taken_over.add(event.subject)
+
+    def note_arrival(self, server):
+        """Check that a server long known to leave gets no starts."""
+        if server.left_ms is None:
+            return
+        since_ms = self.clock.now_ms - server.left_ms
+        if since_ms > LEAVING_GRACE_MS:
+            self._fail(Invariant.NO_WORK_FOR_LEAVING, f"{server.id} {since_ms}")
+
+    def note_starts(self, server, specs):
+        """Record attempts that really started.
+
+        :param server: the server.
+        :param specs: their :class:`~buckthornshift.contracts.AttemptSpec`.
+        """
+        for spec in specs:
+            start = SeenStart(
+                server_id=server.id,
+                incarnation=server.model.incarnation,
+                starter=spec.attempt_id.rpartition("-")[0],
+                term=spec.term,
+            )
+            key = (spec.job_id, spec.task_id)
+            self.starts_by_task.setdefault(key, []).append(start)
+
+    def note_answer(self, request, answer):
+        """Record an answer and check it against its request."""
+        if request.answer is not None:
+            self._fail(Invariant.ONE_ANSWER, request.job.job_id)
+        request.answer = answer
+        if answer.job_id != request.job.job_id:
+            self._fail(Invariant.OWN_ANSWER, answer.job_id)
+        if answer.status is JobStatus.COMPLETE:
+            self._check_whole(request.job, answer)
+
+    def note_version(self, node):
+        """Check that the catalogue of a process never goes back."""
+        version = node.core.context.catalogue.version
+        incarnation = node.record.incarnation
+        if version < self.version_by_process[incarnation]:
+            self._fail(Invariant.CATALOGUE_NEVER_REVERTS, incarnation)
+        self.version_by_process[incarnation] = version
+
+    def check_end(self, world):
+        """Check everything that can be told only at the end."""
+        for request in self.requests:
+            self._check_answered(request)
+        for (job_id, task_id), starts in self.starts_by_task.items():
+            self._check_starts(job_id, task_id, starts)
+        self._check_not_run()
+        for node in world.entries:
+            if node.is_up:
+                self._check_idle(node)
+
+    def count(self, n_faults):
+        """Return the :class:`RunCounts`."""
+        statuses = [r.answer.status for r in self.requests if r.answer is not None]
+        return RunCounts(
+            n_jobs=len({r.job.job_id for r in self.requests}),
+            n_requests=len(self.requests),
+            n_starts=sum(len(starts) for starts in self.starts_by_task.values()),
+            n_faults=n_faults,
+            n_complete=statuses.count(JobStatus.COMPLETE),
+            n_failed=statuses.count(JobStatus.FAILED),
+            n_not_run=statuses.count(JobStatus.NOT_RUN),
+            n_lost=sum(r.answer is None for r in self.requests),
+        )
+
+    def _check_whole(self, job, answer):
+        got = [result.task_id for result in answer.results]
+        expected = [task.task_id for task in job.tasks]
+        if got != expected:
+            self._fail(Invariant.WHOLE_ANSWER, job.job_id)
+        for task, result in zip(job.tasks, answer.results, strict=True):
+            if result.output["echo"] != task.payload:
+                self._fail(Invariant.OWN_ANSWER, f"{job.job_id} {task.task_id}")
+
+    def _check_answered(self, request):
+        if request.answer is None and not request.is_lost:
+            self._fail(Invariant.ONE_ANSWER, f"{request.job.job_id}: no answer")
+
+    def _check_starts(self, job_id, task_id, starts):
+        request = next(r for r in self.requests if r.job.job_id == job_id)
+        detail = f"{job_id} {task_id}: {starts}"
+        if not request.is_repeatable and len(starts) > 1:
+            self._fail(Invariant.AT_MOST_ONCE, detail)
+        if job_id in self.outage_jobs:
+            return
+        starters_by_term = {}
+        for start in starts:
+            starters_by_term.setdefault(start.term, set()).add(start.starter)
+        if any(len(starters) > 1 for starters in starters_by_term.values()):
+            self._fail(Invariant.SINGLE_START, detail)
+
+    def _check_not_run(self):
+        started = {job_id for job_id, _ in self.starts_by_task}
+        answers_by_job = {}
+        for request in self.requests:
+            if not request.is_cancel:
+                answers_by_job.setdefault(request.job.job_id, []).append(request.answer)
+        for job_id, answers in answers_by_job.items():
+            is_refused = all(
+                answer is not None and answer.status is JobStatus.NOT_RUN
+                for answer in answers
+            )
+            if is_refused and job_id in started:
+                self._fail(Invariant.NOT_RUN_IS_TRUE, job_id)
+
+    def _check_idle(self, node):
+        context = node.core.context
+        left = {
+            "open jobs": context.jobs.n_open,
+            "queued": context.queue.n_tasks,
+            "attempts": len(node.core.running.attempts_by_id),
+            "questions": len(node.core.attaching.by_request),
+            "running": sum(context.quotas.running_by_key.values()),
+            "demand": sum(context.quotas.queued_by_key.values()),
+        }
+        if any(left.values()):
+            self._fail(Invariant.ONE_ANSWER, f"{node.id} is not idle: {left}")
+
+    def _fail(self, invariant, detail):
+        raise InvariantError(invariant=invariant, detail=detail)
