--- /dev/null
+++ b/buckthornshift/load/_virtual_run.py
@@ -0,0 +1,182 @@
+"""Loads on cores under a virtual clock: exact, repeatable, without the machine."""
+
+import random
+
+import attrs
+
+from ..contracts import (
+    CATALOGUE_STREAM,
+    CatalogueChange,
+    encode_message,
+)
+from ..core import CoreSettings, JobCancelRequested, JobSubmitted, flatten_document
+from ..proving import FaultInjector, RunPlan, SeenRequest, World
+from ._profiles import draw_arrivals, make_catalogue, with_id
+from ._recorder import Recorder, collect_counters
+
+WARM_UP_MS = 2_000.0
+RETRY_LOST_MS = 50.0
+DRAIN_MS = 30_000.0
+
+
+class VirtualRun:
+    """Run a profile on a world and record what callers see.
+
+    :param name: name of the run.
+    :param plan: the :class:`~buckthornshift.proving.RunPlan` with sizes and faults;
+        fault times count from the start of the load.
+    :param profile: the :class:`Profile`.
+    :param load: offered work as a fraction of the slots' capacity.
+    :param length_ms: length of the load.
+    :param core_settings: settings of the cores.
+    """
+
+    def __init__(
+        self,
+        name="",
+        plan=None,
+        profile=None,
+        load=0.6,
+        length_ms=60_000.0,
+        core_settings=None,
+    ):
+        self.name = name
+        self.plan = plan or RunPlan()
+        self.profile = profile
+        self.load = load
+        self.length_ms = length_ms
+        self.core_settings = core_settings or CoreSettings()
+        self.world = None
+        self.recorder = None
+        self._requests_by_ref = {}
+        self._answered_jobs = set()
+        self._n_answers = 0
+        self._next_ref = 0
+        self._random_state = random.Random(self.plan.seed)
+        self._ended_cores = []
+
+    def run(self):
+        """Run to the end and return the :class:`LoadResult`."""
+        faults = tuple(
+            attrs.evolve(fault, start_ms=fault.start_ms + WARM_UP_MS)
+            for fault in self.plan.faults
+        )
+        plan = attrs.evolve(self.plan, faults=faults)
+        self.world = World(plan=plan, core_settings=self.core_settings)
+        self.world.answer_entry = self._take_answer
+        n_slots = plan.n_servers * plan.slots
+        fixed_ms = 2 * plan.client_ms + 2 * plan.near_ms
+        self.recorder = Recorder(n_slots=n_slots, fixed_ms=fixed_ms)
+        self._start(n_slots)
+        self.world.clock.run_until(WARM_UP_MS + self.length_ms + DRAIN_MS)
+        return self._finish()
+
+    def _start(self, n_slots):
+        world = self.world
+        world.start()
+        items = flatten_document(make_catalogue(self.profile))
+        change = CatalogueChange(change_id="first", based_on=-1, items=items)
+        world.links.append_directly(CATALOGUE_STREAM, encode_message(change))
+        FaultInjector(world=world, callers=self).start()
+        world.trim_log()
+        arrivals = draw_arrivals(
+            self.profile, self.load, n_slots, self.length_ms, self._random_state
+        )
+        for arrival in arrivals:
+            world.clock.schedule(WARM_UP_MS + arrival.at_ms, self._arrive, arrival)
+
+    def cancel_some(self, n_jobs):
+        """Cancel a wave of recent jobs, for the fault injector."""
+        for ref in list(self._requests_by_ref)[-n_jobs:]:
+            arrival, job, _, _ = self._requests_by_ref[ref]
+            self._send_cancel(job)
+
+    def race_operators(self):
+        """Do nothing: loads do not change the catalogue."""
+
+    def _arrive(self, arrival):
+        job = with_id(arrival.job, self.world.clock.wall_ms, self._random_state)
+        sent_ms = self.world.clock.now_ms
+        self._send(arrival, job, sent_ms, is_again=False)
+        if arrival.is_duplicated:
+            self._send(arrival, job, sent_ms, is_again=False)
+        if arrival.cancel_after_ms is not None:
+            self.world.clock.schedule(arrival.cancel_after_ms, self._send_cancel, job)
+
+    def _send(self, arrival, job, sent_ms, is_again):
+        world = self.world
+        node = self._pick_node()
+        if node is None:
+            world.clock.schedule(
+                RETRY_LOST_MS, self._send, arrival, job, sent_ms, is_again
+            )
+            return
+        ref = self._make_ref()
+        request = SeenRequest(job=job, node_id=node.record.incarnation)
+        world.oracle.requests.append(request)
+        self._requests_by_ref[ref] = (arrival, job, sent_ms, request)
+        event = JobSubmitted(caller_ref=ref, job=job, is_resubmission=is_again)
+        world.clock.schedule(
+            world.plan.client_ms, world.deliver, node, node.generation, event
+        )
+        world.clock.schedule(RETRY_LOST_MS, self._watch, ref)
+
+    def _watch(self, ref):
+        entry = self._requests_by_ref.get(ref)
+        if entry is None:
+            return
+        arrival, job, sent_ms, request = entry
+        if not request.is_lost:
+            self.world.clock.schedule(RETRY_LOST_MS, self._watch, ref)
+            return
+        del self._requests_by_ref[ref]
+        self._send(arrival, job, sent_ms, is_again=True)
+
+    def _send_cancel(self, job):
+        node = self._pick_node()
+        if node is None:
+            return
+        event = JobCancelRequested(caller_ref=self._make_ref(), job_id=job.job_id)
+        self.world.clock.schedule(
+            self.world.plan.client_ms,
+            self.world.deliver,
+            node,
+            node.generation,
+            event,
+        )
+
+    def _take_answer(self, node, action):
+        self._n_answers += 1
+        entry = self._requests_by_ref.pop(action.caller_ref, None)
+        if entry is None:
+            return
+        arrival, job, sent_ms, request = entry
+        self.world.oracle.note_answer(request, action.answer)
+        if job.job_id in self._answered_jobs:
+            return
+        self._answered_jobs.add(job.job_id)
+        elapsed_ms = self.world.clock.now_ms - sent_ms + self.world.plan.client_ms
+        self.recorder.note_answer(arrival, action.answer, elapsed_ms)
+
+    def _finish(self):
+        for arrival, job, _, _ in self._requests_by_ref.values():
+            if job.job_id not in self._answered_jobs:
+                self.recorder.note_answer(arrival, None, 0.0)
+                self.recorder.note_violation("no_answer")
+        cores = [node.core for node in self.world.entries if node.is_up]
+        messages = collect_counters(
+            cores, self._next_ref, self._n_answers, self.world.log.n_appends
+        )
+        starts = {
+            f"{job_id}/{task_id}": len(seen)
+            for (job_id, task_id), seen in self.world.oracle.starts_by_task.items()
+        }
+        return self.recorder.finish(self.name, messages, starts)
+
+    def _pick_node(self):
+        nodes = [n for n in self.world.entries if n.is_up and not n.is_draining]
+        return self.world.random_state.choice(nodes) if nodes else None
+
+    def _make_ref(self):
+        self._next_ref += 1
+        return self._next_ref
--- a/buckthornshift/proving/__init__.py
+++ b/buckthornshift/proving/__init__.py
@@ -5,8 +5,8 @@
     VirtualClock,
 )
 from ._fake_callers import (
-    CLIENT_MS,
     ENTRY_NAMES,
+    LATE_BALANCER,
     MAX_TRIES,
     PATIENCE_MS,
     FakeCallers,
@@ -14,8 +14,6 @@
 )
 from ._fake_links import (
     CALL_TIMEOUT_MS,
-    FAR_MS,
-    NEAR_MS,
     PLATFORM_MS,
     READ_INTERVAL_MS,
     SYNC_MS,
@@ -31,6 +29,7 @@
     RunCounts,
     SeenRequest,
     SeenStart,
+    replay_catalogue,
 )
 from ._plan import (
     MAX_FAULT_MS,
@@ -61,23 +60,21 @@
     "ANSWER_GRACE_MS",
     "CALL_TIMEOUT_MS",
     "CHECK_INTERVAL_MS",
-    "CLIENT_MS",
     "Conditions",
     "ENTRY_NAMES",
     "EPOCH_MS",
     "EntryNode",
-    "FAR_MS",
     "FakeCallers",
     "FakeLinks",
     "Fault",
     "FaultInjector",
     "FaultKind",
+    "LATE_BALANCER",
     "LEAVING_GRACE_MS",
     "LIST_POLL_MS",
     "MAX_FAULTS",
     "MAX_FAULT_MS",
     "MAX_TRIES",
-    "NEAR_MS",
     "Oracle",
     "PATIENCE_MS",
     "PLATFORM_MS",
@@ -96,6 +93,7 @@
     "draw_plan",
     "make_catalogue_items",
     "make_core_settings",
+    "replay_catalogue",
     "run_plan",
     "run_seed",
 ]
--- a/buckthornshift/proving/_fake_callers.py
+++ b/buckthornshift/proving/_fake_callers.py
@@ -17,7 +17,6 @@
 from ..core import JobCancelRequested, JobSubmitted
 from ._oracle import SeenRequest
 
-CLIENT_MS = 3.0
 MAX_TRIES = 6
 PATIENCE_MS = 3_000.0
 LATE_BALANCER = 0.1
@@ -119,7 +118,9 @@
         world.oracle.requests.append(request)
         self._request_by_ref[ref] = request
         event = JobSubmitted(caller_ref=ref, job=job, is_resubmission=n_try > 1)
-        world.clock.schedule(CLIENT_MS, world.deliver, node, node.generation, event)
+        world.clock.schedule(
+            world.plan.client_ms, world.deliver, node, node.generation, event
+        )
         wait_ms = job.timeout_ms + PATIENCE_MS
         world.clock.schedule(wait_ms, self._lose_patience, request, n_try)
         world.clock.schedule(50.0, self._watch_loss, request, n_try)
@@ -142,7 +143,9 @@
         event = JobCancelRequested(
             caller_ref=self._next_ref, job_id=submitted.job.job_id
         )
-        world.clock.schedule(CLIENT_MS, world.deliver, node, node.generation, event)
+        world.clock.schedule(
+            world.plan.client_ms, world.deliver, node, node.generation, event
+        )
 
     def _take_answer(self, node, action):
         request = self._request_by_ref[action.caller_ref]
--- a/buckthornshift/proving/_fake_links.py
+++ b/buckthornshift/proving/_fake_links.py
@@ -24,8 +24,6 @@
     StartNotSent,
 )
 
-NEAR_MS = 0.3
-FAR_MS = 1.4
 PLATFORM_MS = 0.8
 SYNC_MS = 4.0
 CALL_TIMEOUT_MS = 1_000.0
@@ -239,11 +237,16 @@
         return next(s for s in self.world.servers if s.id == record.instance_id)
 
     def _draw_link_ms(self, node, other):
-        base_ms = NEAR_MS if node.zone == other.zone else FAR_MS
-        return base_ms * (0.5 + self.world.random_state.expovariate(1.0))
+        plan = self.world.plan
+        return self._vary(plan.near_ms if node.zone == other.zone else plan.zone_ms)
 
     def _draw_platform_ms(self):
-        return PLATFORM_MS * (0.5 + self.world.random_state.expovariate(1.0))
+        return self._vary(PLATFORM_MS)
+
+    def _vary(self, delay_ms):
+        if not self.world.plan.is_jittery:
+            return delay_ms
+        return delay_ms * (0.5 + self.world.random_state.expovariate(1.0))
 
 
 class _Connection:
--- a/buckthornshift/proving/_plan.py
+++ b/buckthornshift/proving/_plan.py
@@ -57,6 +57,10 @@
     :param settle_ms: time without new faults at the end.
     :param retention_ms: retention of the log.
     :param faults: the faults.
+    :param near_ms: one-way delay inside a zone.
+    :param zone_ms: one-way delay between zones.
+    :param client_ms: one-way delay between callers and instances.
+    :param is_jittery: whether delays vary at random.
     """
 
     seed: int = 0
@@ -69,6 +73,10 @@
     settle_ms: float = 40_000.0
     retention_ms: float = 3_600_000.0
     faults: tuple[Fault, ...] = ()
+    near_ms: float = 0.3
+    zone_ms: float = 1.4
+    client_ms: float = 3.0
+    is_jittery: bool = True
 
 
 MAX_FAULTS = 10
