ENH Place by estimated room, keep a slot for small jobs, order by urgency

Change: estimates drift to the fleet's mean, large jobs keep a margin and one slot a server free, lanes by entry and size, order by arrival plus a multiple of the ideal response.

FIX Drain: a request behind a pause survives

It now exits after two idle steps.

--- a/buckthornshift/core/_admission.py
+++ b/buckthornshift/core/_admission.py
@@ -81,49 +81,61 @@
             )
         return None
 
-    def check_room(self, tasks, timeout_ms, work_in_flight_ms):
+    def check_room(self, job, work_in_flight_ms):
         """Return a refusal for a job that cannot end in time, or ``None``.
 
-        :param tasks: the job's tasks.
-        :param timeout_ms: the job's timeout.
+        :param job: the job at its home, not yet queued.
         :param work_in_flight_ms: expected run time left in started tasks.
         """
-        for task in tasks:
+        for task in job.tasks:
             if not self.servers.can_any_hold(task):
                 return self._refuse_infeasible(task)
-        if self.queue.n_tasks + len(tasks) > self.settings.max_queued_tasks:
-            return self._refuse_overload(self._estimate_wait_ms(work_in_flight_ms))
-        return self._check_time(tasks, timeout_ms, work_in_flight_ms)
+        wait_ms = self._estimate_wait_ms(job.urgent_ms, work_in_flight_ms)
+        if self.queue.n_tasks + len(job.tasks) > self.settings.max_queued_tasks:
+            return self._refuse_overload(wait_ms)
+        return self._check_time(job, wait_ms)
+
+    def estimate_ideal_ms(self, job):
+        """Return the expected response of a job with free slots at once."""
+        longest_ms = max(task.expected_ms for task in job.tasks)
+        work_ms = sum(task.expected_ms for task in job.tasks)
+        return max(longest_ms, work_ms / max(1, self.servers.n_slots))
 
     def estimate_capacity(self):
-        """Return the slots that this instance can count on."""
-        share = self.servers.n_slots / self.peers.n_instances
-        return max(1.0, share)
-
-    def _check_time(self, tasks, timeout_ms, work_in_flight_ms):
-        wait_ms = self._estimate_wait_ms(work_in_flight_ms)
-        longest_ms = max(task.expected_ms for task in tasks)
-        own_ms = sum(task.expected_ms for task in tasks)
-        all_slots = max(1.0, float(self.servers.n_slots))
-        finish_ms = wait_ms + max(longest_ms, own_ms / all_slots)
+        """Return the slots that this instance can count on.
+
+        It has its share of the fleet, and what the fleet has to spare.
+        """
+        n_slots = self.servers.n_slots
+        share = n_slots / self.peers.n_instances
+        spare = n_slots * (1.0 - self.servers.fleet.busy_fraction)
+        return max(1.0, share, min(n_slots, spare))
+
+    def _check_time(self, job, wait_ms):
+        settings = self.settings
+        timeout_ms = job.request.timeout_ms
+        longest_ms = max(task.expected_ms for task in job.tasks)
         if longest_ms > timeout_ms:
             return Refusal(
                 reason=Reason.INFEASIBLE,
                 detail=f"timeout_ms: got {timeout_ms}, expected at least the "
                 f"longest task's {longest_ms:.0f} ms",
             )
-        is_late = finish_ms > self.settings.deadline_margin * timeout_ms
-        is_crowded = wait_ms > self.settings.max_queue_wait_ms
-        if wait_ms > 0 and (is_late or is_crowded):
+        if wait_ms <= 0:
+            return None
+        ideal_ms = self.estimate_ideal_ms(job)
+        limit_ms = max(settings.min_wait_limit_ms, settings.max_wait_ratio * ideal_ms)
+        is_late = wait_ms + ideal_ms > settings.deadline_margin * timeout_ms
+        if is_late or wait_ms > limit_ms:
             return self._refuse_overload(wait_ms)
         return None
 
-    def _estimate_wait_ms(self, work_in_flight_ms):
-        backlog_ms = self.queue.work_ms
-        if backlog_ms <= 0:
+    def _estimate_wait_ms(self, urgent_ms, work_in_flight_ms):
+        ahead_ms = self.queue.sum_work_ahead_ms(urgent_ms)
+        if ahead_ms <= 0:
             return 0.0
         capacity = self.estimate_capacity()
-        return (backlog_ms + work_in_flight_ms / 2) / capacity
+        return (ahead_ms + work_in_flight_ms / 2) / capacity
 
     def _refuse_infeasible(self, task):
         has_servers = any(True for _ in self.servers.iter_usable())
--- a/buckthornshift/core/_drain.py
+++ b/buckthornshift/core/_drain.py
@@ -6,6 +6,8 @@
 from ._messages import DrainStepDue
 
 DRAIN_STEP_MS = 50.0
+# After a pause of the process, requests may wait behind the first due step.
+IDLE_STEPS_BEFORE_EXIT = 2
 
 
 class Drain:
@@ -23,6 +25,7 @@
         self.context = context
         self.attaching = attaching
         self._idle_since_ms = None
+        self._n_idle_steps = 0
 
     def subscribe(self):
         """Return handlers by message class."""
@@ -41,7 +44,8 @@
     def on_step(self, message):
         """Exit if nothing is left to do."""
         context = self.context
-        if self._is_done():
+        self._n_idle_steps = self._n_idle_steps + 1 if self._is_done() else 0
+        if self._n_idle_steps >= IDLE_STEPS_BEFORE_EXIT:
             is_empty = not context.jobs.n_open and not self.attaching.by_request
             context.monitor.check(is_empty, Invariant.DRAIN_CUTS_NOTHING)
             context.has_exited = True
--- a/buckthornshift/core/_jobs.py
+++ b/buckthornshift/core/_jobs.py
@@ -82,6 +82,7 @@
     :param expected_ms: expected run time.
     :param attempts: its attempts, in order.
     :param output: its result once ended.
+    :param is_large: whether its job had many open tasks when it was queued.
     """
 
     spec: TaskSpec = TaskSpec()
@@ -90,6 +91,7 @@
     expected_ms: float = 0.0
     attempts: list = attrs.field(factory=list)
     output: object = None
+    is_large: bool = False
 
     @property
     def id(self):
@@ -97,9 +99,9 @@
         return self.spec.task_id
 
     @property
-    def deadline_ms(self):
-        """Deadline of the task's job."""
-        return self.job.deadline_ms
+    def urgent_ms(self):
+        """Time by which the queue orders the task."""
+        return self.job.urgent_ms
 
     @property
     def is_waiting(self):
@@ -125,6 +127,7 @@
     :param entry: catalogue entry at acceptance.
     :param deadline_ms: when the answer is due.
     :param accepted_ms: when it was accepted.
+    :param urgent_ms: time by which the queue orders its tasks.
     :param term: term of the claim under which it runs.
     :param phase: where it stands.
     :param is_claim_won: whether the log gave the job to this instance.
@@ -144,6 +147,7 @@
     entry: EntrySpec = EntrySpec()
     deadline_ms: float = 0.0
     accepted_ms: float = 0.0
+    urgent_ms: float = 0.0
     term: int = 0
     phase: JobPhase = JobPhase.CLAIMING
     is_claim_won: bool = False
--- a/buckthornshift/core/_placement.py
+++ b/buckthornshift/core/_placement.py
@@ -1,5 +1,8 @@
 """Choice of backend servers for tasks."""
 
+import attrs
+
+from ._servers import Room, Server, ServerHealth
 from ._settings import LeastLoaded, RandomServer, RoundRobin
 
 OWN_FIRST = 0
@@ -7,6 +10,18 @@
 OTHER_ZONE = 2
 
 
+@attrs.define(kw_only=True)
+class Candidate:
+    """A server that may get work now.
+
+    :param server: the server.
+    :param room: its estimated room, less what was planned for it meanwhile.
+    """
+
+    server: Server = None
+    room: Room = None
+
+
 class Placement:
     """Choose a server for a task by the configured policy.
 
@@ -29,49 +44,66 @@
         self._turn = 0
 
     def list_candidates(self, now_ms):
-        """Return servers that may get work now, best first.
+        """Return servers that may get work now with their room, best first.
 
         :param now_ms: the current time.
+        :returns: list of :class:`Candidate`.
         """
-        servers = list(self.servers.iter_open(now_ms))
+        candidates = [
+            Candidate(server=server, room=self._estimate(server, now_ms))
+            for server in self.servers.iter_open(now_ms)
+        ]
         match self.settings.policy:
             case LeastLoaded():
-                return self._rank_by_load(servers, now_ms)
+                return self._rank_by_load(candidates)
             case RandomServer():
-                self.random_state.shuffle(servers)
-                return servers
+                self.random_state.shuffle(candidates)
+                return candidates
             case RoundRobin():
-                return self._rotate(servers)
+                return self._rotate(candidates)
 
-    def count_room(self, server, now_ms):
-        """Return how many tasks a server may get now.
+    def find_fitting(self, candidates, task):
+        """Return the first candidate that a task may be sent to, or ``None``.
 
-        :param server: the server.
-        :param now_ms: the current time.
+        :param candidates: what :meth:`list_candidates` returned.
+        :param task: the task.
         """
-        if server.health == "ejected":
-            return 1
+        for candidate in candidates:
+            if self._count_room(candidate, task) < 1:
+                continue
+            if _may_run_on(candidate.server, task, len(candidates)):
+                return candidate
+        return None
+
+    def _count_room(self, candidate, task):
+        is_estimated = isinstance(self.settings.policy, LeastLoaded)
+        if not task.is_large or not is_estimated:
+            return candidate.room.count()
+        return candidate.room.count(
+            n_reserved=self.settings.n_reserved_slots,
+            caution=self.settings.load_caution,
+        )
+
+    def _estimate(self, server, now_ms):
         own_free = server.record.slots - len(server.attempt_ids)
+        if server.health is ServerHealth.EJECTED:
+            return Room(free=min(1, own_free))
         match self.settings.policy:
             case LeastLoaded():
-                memory_ms = self.settings.load_memory_ms
-                return min(own_free, server.estimate_free_slots(now_ms, memory_ms))
+                return server.estimate_room(now_ms, self.servers.fleet)
             case RandomServer() | RoundRobin():
-                return min(own_free, 1)
-
-    def _rank_by_load(self, servers, now_ms):
-        memory_ms = self.settings.load_memory_ms
-        free_by_id = {s.id: s.estimate_free_slots(now_ms, memory_ms) for s in servers}
-        servers = [server for server in servers if free_by_id[server.id] > 0]
-        servers.sort(
-            key=lambda s: (
-                self._rank_distance(s),
-                s.n_failures > 1,
-                -free_by_id[s.id],
-                -s.rank_weight,
+                return Room(free=min(1, own_free))
+
+    def _rank_by_load(self, candidates):
+        candidates.sort(
+            key=lambda c: (
+                self._rank_distance(c.server),
+                c.server.n_failures > 1,
+                -c.room.count(),
+                -c.server.rank_weight,
             )
         )
-        return servers
+        return candidates
 
     def _rank_distance(self, server):
         if server.is_own:
@@ -80,8 +112,15 @@
             return SAME_ZONE
         return OTHER_ZONE
 
-    def _rotate(self, servers):
-        if not servers:
-            return servers
-        self._turn = (self._turn + 1) % len(servers)
-        return servers[self._turn :] + servers[: self._turn]
+    def _rotate(self, candidates):
+        if not candidates:
+            return candidates
+        self._turn = (self._turn + 1) % len(candidates)
+        return candidates[self._turn :] + candidates[: self._turn]
+
+
+def _may_run_on(server, task, n_candidates):
+    is_risky = server.health is ServerHealth.EJECTED or server.n_failures > 1
+    if is_risky and not task.job.entry.is_repeatable and n_candidates > 1:
+        return False
+    return server.can_hold(task)
--- a/buckthornshift/core/_queue.py
+++ b/buckthornshift/core/_queue.py
@@ -5,25 +5,42 @@
 
 import attrs
 
+ROUNDING_MS = 0.001
+
 
 @attrs.define(kw_only=True)
-class _EntryQueue:
+class Lane:
+    """Waiting tasks of one entry and size class.
+
+    :param entry_name: name of the entry.
+    :param is_large: whether the tasks belong to large jobs.
+    :param owner: owner of the entry.
+    :param heap: tasks by urgency.
+    """
+
+    entry_name: str = ""
+    is_large: bool = False
     owner: str = ""
     heap: list = attrs.field(factory=list)
 
 
 class FairQueue:
-    """Serve owners in proportion to their weights, each by earliest deadline.
+    """Serve owners in proportion to their weights, each by urgency.
+
+    A task's urgency is a point in time: its job's arrival plus a multiple of the
+    job's ideal response, at most the job's deadline. Short jobs thereby pass long
+    ones, and long ones are not starved.
 
-    Tasks wait by catalogue entry, so that a limit on one entry holds up no other.
+    Tasks wait in lanes by catalogue entry and size of job, so that a limit on one
+    entry, or a large job that waits for more room, holds up no other.
     The owner with the least weighted service so far is served next; an owner that
     was idle starts level with the others, so that it can't save up service.
     """
 
     def __init__(self):
         self.n_tasks = 0
-        self.work_ms = 0.0
-        self._queues_by_entry = {}
+        self._work_by_job = {}
+        self._lanes_by_key = {}
         self._served_by_owner = {}
         self._n_by_owner = {}
         self._sequence = itertools.count()
@@ -34,38 +51,38 @@
 
         :param owner: owner of the task's entry.
         :param entry_name: name of the entry.
-        :param task: the task, with ``deadline_ms`` and ``expected_ms``.
+        :param task: the task, with ``urgent_ms`` and ``expected_ms``.
         """
-        queue = self._queues_by_entry.get(entry_name)
-        if queue is None or queue.owner != owner:
-            queue = _EntryQueue(owner=owner)
-            self._queues_by_entry[entry_name] = queue
+        key = (entry_name, task.is_large)
+        lane = self._lanes_by_key.get(key)
+        if lane is None or lane.owner != owner:
+            lane = Lane(entry_name=entry_name, is_large=task.is_large, owner=owner)
+            self._lanes_by_key[key] = lane
         if not self._n_by_owner.get(owner):
             served = self._served_by_owner.get(owner, 0.0)
             self._served_by_owner[owner] = max(served, self._virtual_time)
-        heapq.heappush(queue.heap, (task.deadline_ms, next(self._sequence), task))
+        heapq.heappush(lane.heap, (task.urgent_ms, next(self._sequence), task))
         self._count(owner, task, 1)
 
-    def list_entries(self):
-        """Return entries with waiting tasks, the least served owner's first."""
-        for name in [n for n, q in self._queues_by_entry.items() if not q.heap]:
-            del self._queues_by_entry[name]
+    def list_lanes(self):
+        """Return lanes with waiting tasks, the least served owner's first."""
+        for key in [k for k, lane in self._lanes_by_key.items() if not lane.heap]:
+            del self._lanes_by_key[key]
         return sorted(
-            self._queues_by_entry,
-            key=lambda name: self._served_by_owner[self._queues_by_entry[name].owner],
+            self._lanes_by_key.values(),
+            key=lambda lane: self._served_by_owner[lane.owner],
         )
 
-    def peek(self, entry_name):
-        """Return an entry's next task that still waits, or ``None``.
+    def peek(self, lane):
+        """Return a lane's next task that still waits, or ``None``.
 
-        :param entry_name: name of the entry.
+        :param lane: the :class:`Lane`.
         """
-        queue = self._queues_by_entry.get(entry_name)
-        while queue and queue.heap:
-            task = queue.heap[0][2]
+        while lane.heap:
+            task = lane.heap[0][2]
             if task.is_waiting:
                 return task
-            heapq.heappop(queue.heap)
+            heapq.heappop(lane.heap)
         return None
 
     def drop(self, owner, task):
@@ -76,22 +93,36 @@
         """
         self._count(owner, task, -1)
 
-    def pop(self, entry_name, weight):
-        """Take an entry's next task, which :meth:`peek` returned.
+    def pop(self, lane, weight):
+        """Take a lane's next task, which :meth:`peek` returned.
 
-        :param entry_name: name of the entry.
+        :param lane: the :class:`Lane`.
         :param weight: the owner's weight.
         """
-        queue = self._queues_by_entry[entry_name]
-        task = heapq.heappop(queue.heap)[2]
-        self._count(queue.owner, task, -1)
-        served = self._served_by_owner[queue.owner]
+        task = heapq.heappop(lane.heap)[2]
+        self._count(lane.owner, task, -1)
+        served = self._served_by_owner[lane.owner]
         self._virtual_time = max(self._virtual_time, served)
         cost = max(task.expected_ms, 1.0) / max(weight, 1)
-        self._served_by_owner[queue.owner] = served + cost
+        self._served_by_owner[lane.owner] = served + cost
         return task
 
+    def sum_work_ahead_ms(self, urgent_ms):
+        """Return the expected run time of waiting tasks that are more urgent.
+
+        :param urgent_ms: urgency to compare with.
+        """
+        return sum(
+            work_ms
+            for job, work_ms in self._work_by_job.items()
+            if job.urgent_ms <= urgent_ms
+        )
+
     def _count(self, owner, task, sign):
         self.n_tasks += sign
         self._n_by_owner[owner] = self._n_by_owner.get(owner, 0) + sign
-        self.work_ms = max(0.0, self.work_ms + sign * task.expected_ms)
+        work_ms = self._work_by_job.get(task.job, 0.0) + sign * task.expected_ms
+        if work_ms > ROUNDING_MS:
+            self._work_by_job[task.job] = work_ms
+        else:
+            self._work_by_job.pop(task.job, None)
--- a/buckthornshift/core/_running.py
+++ b/buckthornshift/core/_running.py
@@ -27,6 +27,7 @@
     RetryDue,
 )
 from ._retry import GiveUp, StartAgain, TaskEnded
+from ._servers import ServerHealth
 
 PUMP_RETRY_MS = 20.0
 MAX_QUERY_INTERVAL_MS = 8_000.0
@@ -188,7 +189,7 @@
         context = self.context
         server = message.server
         is_current = context.servers.by_id.get(server.id) is server
-        if not is_current or server.health != "suspect":
+        if not is_current or server.health is not ServerHealth.SUSPECT:
             return
         self._emit_query(server, tuple(server.attempt_ids))
         context.start_timer(context.settings.probe_interval_ms, ProbeDue(server=server))
@@ -254,43 +255,35 @@
         context = self.context
         if not context.queue.n_tasks:
             return
-        plan = self._plan_starts()
-        for server, tasks in plan:
+        for server, tasks in self._plan_starts():
             self._send_starts(server, tasks, is_hedge=False)
         if context.queue.n_tasks and self._pump_timer is None:
             self._pump_timer = context.start_timer(PUMP_RETRY_MS, PumpDue())
 
     def _plan_starts(self):
         context = self.context
-        now_ms = context.now_ms
-        candidates = context.placement.list_candidates(now_ms)
-        room_by_id = {s.id: context.placement.count_room(s, now_ms) for s in candidates}
+        candidates = context.placement.list_candidates(context.now_ms)
         tasks_by_id = {}
         blocked = set()
         while True:
-            candidates = [s for s in candidates if room_by_id[s.id] > 0]
-            if not candidates:
+            lane = self._pick_lane(blocked)
+            if lane is None:
                 break
-            entry_name = self._pick_entry(blocked)
-            if entry_name is None:
-                break
-            task = context.queue.peek(entry_name)
-            server = _find_fitting(candidates, task)
-            if server is None or not self._take_quota(task):
-                blocked.add(entry_name)
+            task = context.queue.peek(lane)
+            candidate = context.placement.find_fitting(candidates, task)
+            if candidate is None or not self._take_quota(task):
+                blocked.add(id(lane))
                 continue
-            self._dequeue(entry_name, task)
-            room_by_id[server.id] -= 1
-            tasks_by_id.setdefault(server.id, []).append(task)
+            self._dequeue(lane, task)
+            candidate.room.free -= 1
+            tasks_by_id.setdefault(candidate.server.id, []).append(task)
         by_id = context.servers.by_id
         return [(by_id[server_id], tasks) for server_id, tasks in tasks_by_id.items()]
 
-    def _pick_entry(self, blocked):
-        for entry_name in self.context.queue.list_entries():
-            if entry_name in blocked:
-                continue
-            if self.context.queue.peek(entry_name) is not None:
-                return entry_name
+    def _pick_lane(self, blocked):
+        for lane in self.context.queue.list_lanes():
+            if id(lane) not in blocked and self.context.queue.peek(lane) is not None:
+                return lane
         return None
 
     def _take_quota(self, task):
@@ -322,13 +315,14 @@
     def _enqueue(self, task):
         context = self.context
         job = task.job
+        task.is_large = job.n_open_tasks > context.settings.large_job_tasks
         context.queue.push(job.entry.owner, job.request.entry, task)
         context.quotas.change_queued(job.limited_keys, 1)
 
-    def _dequeue(self, entry_name, task):
+    def _dequeue(self, lane, task):
         context = self.context
         owner = context.catalogue.find_owner(task.job.entry.owner)
-        context.queue.pop(entry_name, owner.weight)
+        context.queue.pop(lane, owner.weight)
         task.phase = TaskPhase.RUNNING
         context.quotas.change_queued(task.job.limited_keys, -1)
 
@@ -339,7 +333,7 @@
             self._make_spec(attempt, task)
             for attempt, task in zip(attempts, tasks, strict=True)
         ]
-        if server.health == "ejected":
+        if server.health is ServerHealth.EJECTED:
             server.is_on_trial = True
         context.counters.n_starts += len(specs)
         context.counters.n_start_messages += 1
@@ -568,19 +562,10 @@
 
     def _find_hedge_server(self, task, attempt):
         context = self.context
-        for server in context.placement.list_candidates(context.now_ms):
-            has_room = context.placement.count_room(server, context.now_ms) > 0
-            is_other = server is not attempt.server and server.health == "ok"
-            if is_other and has_room and server.can_hold(task):
+        for candidate in context.placement.list_candidates(context.now_ms):
+            server = candidate.server
+            is_other = server is not attempt.server
+            is_fit = server.health is ServerHealth.OK and server.can_hold(task)
+            if is_other and is_fit and candidate.room.count() > 0:
                 return server
         return None
-
-
-def _find_fitting(candidates, task):
-    for server in candidates:
-        is_risky = server.health == "ejected" or server.n_failures > 1
-        if is_risky and not task.job.entry.is_repeatable and len(candidates) > 1:
-            continue
-        if server.can_hold(task):
-            return server
-    return None
--- a/buckthornshift/core/_servers.py
+++ b/buckthornshift/core/_servers.py
@@ -8,6 +8,46 @@
 from ..contracts import InstanceRecord
 from ._hashing import compute_weight
 
+ROUNDING = 0.51
+FLEET_GAIN = 0.05
+
+
+@attrs.define(kw_only=True)
+class FleetLoad:
+    """Load of the fleet as seen in the reports of its servers.
+
+    :param busy_fraction: mean part of the slots in use.
+    :param memory_ms: time constant with which a report loses its worth.
+    """
+
+    busy_fraction: float = 0.0
+    memory_ms: float = 500.0
+
+    def note(self, n_running, n_slots):
+        """Take one report into the mean."""
+        busy = min(1.0, n_running / max(1, n_slots))
+        self.busy_fraction += FLEET_GAIN * (busy - self.busy_fraction)
+
+
+@attrs.define(kw_only=True)
+class Room:
+    """Slots that a server is thought to have free.
+
+    :param free: expected free slots.
+    :param error: standard deviation of that.
+    """
+
+    free: float = 0.0
+    error: float = 0.0
+
+    def count(self, n_reserved=0, caution=0.0):
+        """Return how many tasks may be sent.
+
+        :param n_reserved: slots to leave free.
+        :param caution: standard deviations to stay clear of.
+        """
+        return math.floor(self.free - n_reserved - caution * self.error + ROUNDING)
+
 
 class ServerHealth(enum.StrEnum):
     """Verdict of an instance on a backend server, from its own evidence."""
@@ -66,15 +106,24 @@
         """Incarnation of the server's process."""
         return self.record.incarnation
 
-    def estimate_free_slots(self, now_ms, memory_ms):
-        """Return the estimated number of free slots.
+    def estimate_room(self, now_ms, fleet):
+        """Return the estimated free slots and how far off they may be.
+
+        What other instances run there drifts from the last report towards the mean
+        of the fleet; the older the report, the larger the possible error.
 
         :param now_ms: the current time.
-        :param memory_ms: time constant for forgetting what others run.
+        :param fleet: the :class:`FleetLoad`.
+        :returns: a :class:`Room`.
         """
-        age_ms = now_ms - self.others_read_ms
-        others = self.others_running * math.exp(-age_ms / memory_ms)
-        return self.record.slots - len(self.attempt_ids) - round(others)
+        mean = fleet.busy_fraction * self.record.slots
+        trust = math.exp(-(now_ms - self.others_read_ms) / fleet.memory_ms)
+        own = len(self.attempt_ids)
+        others = trust * self.others_running + (1.0 - trust) * max(0.0, mean - own)
+        return Room(
+            free=self.record.slots - own - others,
+            error=math.sqrt(mean * (1.0 - trust * trust)),
+        )
 
     def can_hold(self, task):
         """Return whether the server is large enough for a task."""
@@ -114,6 +163,7 @@
         self.identity = identity
         self.by_id = {}
         self.n_slots = 0
+        self.fleet = FleetLoad(memory_ms=settings.load_memory_ms)
 
     def read_list(self, records, entry_ids_by_zone):
         """Take over the backend servers of a new list.
@@ -170,6 +220,7 @@
         server.is_leaving = server.is_leaving or report.is_leaving
         server.others_running = max(0, report.n_running - len(server.attempt_ids))
         server.others_read_ms = now_ms
+        self.fleet.note(report.n_running, server.record.slots)
         return is_new
 
     def note_busy(self, server, now_ms):
--- a/buckthornshift/core/_settings.py
+++ b/buckthornshift/core/_settings.py
@@ -40,7 +40,11 @@
     :param max_outcome_bytes: largest answer that is kept on the log.
     :param id_skew_ms: how far in the future a job id's time may lie.
     :param max_queued_tasks: most tasks waiting in one instance.
-    :param max_queue_wait_ms: longest expected wait with which a job is accepted.
+    :param max_wait_ratio: longest expected wait with which a job is accepted, as a
+        multiple of its ideal response.
+    :param min_wait_limit_ms: wait that is accepted for any job.
+    :param urgency_factor: multiple of a job's ideal response after which its tasks
+        become as urgent as those of a job that arrives then.
     :param deadline_margin: part of the timeout that the estimated completion
         may use up.
     :param attach_patience_ms: time given to an unreachable home before its
@@ -61,6 +65,10 @@
     :param busy_max_ms: longest such pause.
     :param load_memory_ms: time constant with which a server's reported load is
         forgotten.
+    :param load_caution: margin that large jobs keep for unknown load, in standard
+        deviations.
+    :param large_job_tasks: open tasks from which on a job counts as large.
+    :param n_reserved_slots: slots of each server that large jobs leave free.
     :param eject_after_failures: consecutive failures that eject a server.
     :param eject_base_ms: first ejection time.
     :param eject_max_ms: longest ejection time.
@@ -89,7 +97,9 @@
     max_outcome_bytes: int = 2_048
     id_skew_ms: float = 30_000.0
     max_queued_tasks: int = 5_000
-    max_queue_wait_ms: float = 1_500.0
+    max_wait_ratio: float = 2.0
+    min_wait_limit_ms: float = 500.0
+    urgency_factor: float = 3.0
     deadline_margin: float = 0.8
     attach_patience_ms: float = 1_000.0
     fence_patience_ms: float = 1_000.0
@@ -103,7 +113,10 @@
     retry_max_ms: float = 1_000.0
     busy_base_ms: float = 20.0
     busy_max_ms: float = 320.0
-    load_memory_ms: float = 300.0
+    load_memory_ms: float = 500.0
+    load_caution: float = 0.5
+    large_job_tasks: int = 10
+    n_reserved_slots: int = 1
     eject_after_failures: int = 5
     eject_base_ms: float = 5_000.0
     eject_max_ms: float = 60_000.0
--- a/buckthornshift/core/_submission.py
+++ b/buckthornshift/core/_submission.py
@@ -277,9 +277,7 @@
     def _make_job(self, arrival, digest, entry):
         context = self.context
         job = build_job(context, arrival, digest, entry)
-        refusal = context.admission.check_room(
-            job.tasks, arrival.job.timeout_ms, context.work_in_flight_ms
-        )
+        refusal = context.admission.check_room(job, context.work_in_flight_ms)
         if refusal is not None:
             self._refuse(arrival, refusal)
             return None
@@ -368,6 +366,7 @@
         limited_keys=_list_limited_keys(context, request, entry),
     )
     job.tasks = [_build_task(context, job, spec) for spec in request.tasks]
+    job.urgent_ms = _compute_urgency(context, job)
     return job
 
 
@@ -401,6 +400,12 @@
     )
 
 
+def _compute_urgency(context, job):
+    ideal_ms = context.admission.estimate_ideal_ms(job)
+    urgent_ms = context.now_ms + context.settings.urgency_factor * ideal_ms
+    return min(job.deadline_ms, urgent_ms)
+
+
 def _build_task(context, job, spec):
     expected_ms = context.run_times.expect_ms(job.request.entry, spec.run_time_ms)
     return Task(spec=spec, job=job, expected_ms=expected_ms)
--- a/buckthornshift/instances/_entry_process.py
+++ b/buckthornshift/instances/_entry_process.py
@@ -118,6 +118,7 @@
     async def wait(self):
         """Wait until the instance has drained, then close everything."""
         await self._task
+        self._callers.refuse_new()
         await self._close()
 
     async def kill(self):
--- a/buckthornshift/links/_caller_server.py
+++ b/buckthornshift/links/_caller_server.py
@@ -60,6 +60,7 @@
         self.describe = describe
         self._waiting_by_ref = {}
         self._next_ref = 0
+        self._is_closed = False
         self._web = WebServer(app=self._make_app(), host=host, port=port)
 
     @property
@@ -71,6 +72,10 @@
         """Begin to listen."""
         await self._web.start()
 
+    def refuse_new(self):
+        """Refuse from now on what nobody would answer any more."""
+        self._is_closed = True
+
     async def stop(self):
         """Stop listening after the requests in flight are answered."""
         await self._web.stop()
@@ -109,6 +114,8 @@
         job = parse_job(job_id, body or b"")
         if isinstance(job, Refusal):
             return _respond(refuse_job(job_id, job))
+        if self._is_closed:
+            return _respond(_refuse_stopping(job_id))
         is_resubmission = request.get_first_header(RESUBMISSION_HEADER) is not None
         caller_ref, waiting = self._make_waiting()
         self.post(
@@ -119,8 +126,10 @@
         return _respond(await waiting)
 
     async def _cancel(self, request):
-        caller_ref, waiting = self._make_waiting()
         job_id = request.route_values["job_id"]
+        if self._is_closed:
+            return _respond(_refuse_stopping(job_id))
+        caller_ref, waiting = self._make_waiting()
         self.post(JobCancelRequested(caller_ref=caller_ref, job_id=job_id))
         return _respond(await waiting)
 
@@ -164,6 +173,13 @@
     return _STATUS_BY_REASON.get(answer.reason, 500)
 
 
+def _refuse_stopping(job_id):
+    refusal = Refusal(
+        reason=Reason.DRAINING, detail="the instance is stopping", retry_after_ms=500
+    )
+    return refuse_job(job_id, refusal)
+
+
 def _respond(answer):
     headers = []
     if answer.retry_after_ms > 0:
--- a/buckthornshift/proving/_fake_links.py
+++ b/buckthornshift/proving/_fake_links.py
@@ -81,15 +81,30 @@
                 )
         return offset
 
-    def finish_attempts(self, server, generation):
-        """End attempts of a server whose time has come and tell who waits."""
-        if server.generation != generation or server.model is None:
+    def schedule_finish(self, server):
+        """Look at a server again when its next attempt ends."""
+        due_ms = server.model.find_next_due()
+        is_known = server.wake_ms is not None and server.wake_ms <= (due_ms or 0.0)
+        if due_ms is None or is_known:
+            return
+        server.wake_ms = due_ms
+        delay_ms = due_ms - self.world.clock.now_ms
+        self.world.clock.schedule(
+            delay_ms, self._finish_attempts, server, server.generation, due_ms
+        )
+
+    def _finish_attempts(self, server, generation, due_ms):
+        if server.generation != generation or server.wake_ms != due_ms:
+            return
+        server.wake_ms = None
+        if server.model is None:
             return
         groups = {}
         for attempt in server.model.finish_due(self.world.clock.now_ms):
             groups.setdefault(attempt.connection, []).append(attempt.report)
         for connection, reports in groups.items():
             connection.send(server, server.model.make_report(reports))
+        self.schedule_finish(server)
 
     def _start(self, node, action):
         world = self.world
@@ -295,22 +310,8 @@
         if model is None:
             return
         world.oracle.note_arrival(self.server)
-        known_ids = set(model.by_attempt)
         refused = model.start(self.action.request, self, world.clock.now_ms)
-        started = [
-            spec
-            for spec in self.action.request.attempts
-            if spec.attempt_id in model.running_ids and spec.attempt_id not in known_ids
-        ]
-        world.oracle.note_starts(self.server, started)
-        for spec in started:
-            delay_ms = model.by_attempt[spec.attempt_id].due_ms - world.clock.now_ms
-            world.clock.schedule(
-                delay_ms,
-                self.links.finish_attempts,
-                self.server,
-                self.server.generation,
-            )
+        self.links.schedule_finish(self.server)
         if refused:
             self.send(self.server, model.make_report(refused))
 
--- a/buckthornshift/proving/_world.py
+++ b/buckthornshift/proving/_world.py
@@ -45,6 +45,7 @@
     :param held: events that arrived during a pause.
     :param is_draining: whether it was asked to stop.
     :param generation: counts its processes.
+    :param wake_ms: when its next timer is due.
     """
 
     index: int = 0
@@ -76,6 +77,8 @@
     :param zone: availability zone.
     :param model: the model, or ``None`` while it is down.
     :param left_ms: when it began to leave.
+    :param generation: counts its processes.
+    :param wake_ms: when its next attempt ends.
     """
 
     index: int = 0
@@ -84,6 +87,7 @@
     record: InstanceRecord = InstanceRecord()
     left_ms: float | None = None
     generation: int = 0
+    wake_ms: float | None = None
 
     @property
     def id(self):
@@ -223,11 +227,15 @@
             return
         server.generation += 1
         server.left_ms = None
+        server.wake_ms = None
         server.model = BackendModel(
             server_id=server.id,
             incarnation=f"s{server.index}.{server.generation}",
             slots=self.plan.slots,
         )
+        server.model.on_start = lambda model, spec: self.oracle.note_starts(
+            server, [spec]
+        )
         self._list_server(server)
 
     def kill_server(self, server):
--- a/buckthornshift/standins/_backend_model.py
+++ b/buckthornshift/standins/_backend_model.py
@@ -63,6 +63,8 @@
         self.running_ids = set()
         self.n_starts_by_task = {}
         self.n_refused = 0
+        self.on_start = None
+        self._dropped = []
         self._fence_by_job = {}
 
     def start(self, request, connection, now_ms):
@@ -118,9 +120,7 @@
                 self._remember(attempt_id, ModelAttempt(report=report))
             elif attempt_id in self.running_ids:
                 self.running_ids.discard(attempt_id)
-                attempt.report = attrs.evolve(
-                    attempt.report, state=AttemptState.STOPPED
-                )
+                self._drop(attempt, AttemptState.STOPPED)
         return self.query(attempt_ids)
 
     def fence(self, job_id, term):
@@ -132,6 +132,11 @@
             if attempt.job_id == job_id
         )
 
+    def take_dropped(self):
+        """Return attempts that were cancelled or fenced, to tell who waits."""
+        dropped, self._dropped = self._dropped, []
+        return dropped
+
     def make_report(self, reports=()):
         """Return a server report with the current load."""
         return ServerReport(
@@ -154,6 +159,10 @@
             return AttemptState.BUSY
         return None
 
+    def _drop(self, attempt, state):
+        attempt.report = attrs.evolve(attempt.report, state=state)
+        self._dropped.append(attempt)
+
     def _begin(self, spec, connection, now_ms):
         run_ms = self.default_run_ms
         if isinstance(spec.payload, dict):
@@ -176,6 +185,8 @@
         )
         self._remember(spec.attempt_id, attempt)
         self.running_ids.add(spec.attempt_id)
+        if self.on_start is not None:
+            self.on_start(self, spec)
         key = f"{spec.job_id}/{spec.task_id}"
         self.n_starts_by_task[key] = self.n_starts_by_task.get(key, 0) + 1
 
--- a/buckthornshift/standins/_backend_server.py
+++ b/buckthornshift/standins/_backend_server.py
@@ -172,14 +172,8 @@
         self._count("cancel")
         await self._block_if_down()
         query = msgspec.json.decode(await request.read(), type=AttemptQuery)
-        running = [
-            self.model.by_attempt[attempt_id]
-            for attempt_id in query.attempt_ids
-            if attempt_id in self.model.running_ids
-        ]
         reports = self.model.cancel(query.attempt_ids)
-        for attempt in running:
-            attempt.connection.put_nowait(attempt.report)
+        self._finish()
         return self._respond(reports)
 
     async def _fence(self, request):
@@ -239,7 +233,8 @@
 
     def _finish(self):
         self._timer = None
-        for attempt in self.model.finish_due(_read_now_ms()):
+        ended = self.model.finish_due(_read_now_ms())
+        for attempt in (*ended, *self.model.take_dropped()):
             attempt.connection.put_nowait(attempt.report)
         self._set_timer()
 
