--- a/buckthornshift/instances/_entry_process.py
+++ b/buckthornshift/instances/_entry_process.py
@@ -124,8 +124,9 @@
     async def kill(self):
         """Stop at once, as a crash would; for tests and the demo."""
         self._task.cancel()
-        self._list_link.close()
-        await self._close()
+        await self._callers.abort()
+        await self._list_link.withdraw()
+        await self._close_links()
 
     def dump(self):
         """Return the full state for operators."""
@@ -276,13 +277,16 @@
             asyncio.ensure_future(link.close())
 
     async def _close(self):
-        if self._timer is not None:
-            self._timer.cancel()
         for _ in range(WITHDRAW_TRIES):
             if await self._list_link.withdraw():
                 break
-        self._list_link.close()
         await self._callers.stop()
+        await self._close_links()
+
+    async def _close_links(self):
+        if self._timer is not None:
+            self._timer.cancel()
+        self._list_link.close()
         await self._peer_server.stop()
         for link in self._log_by_stream.values():
             link.close()
--- a/buckthornshift/links/_caller_server.py
+++ b/buckthornshift/links/_caller_server.py
@@ -80,6 +80,12 @@
         """Stop listening after the requests in flight are answered."""
         await self._web.stop()
 
+    async def abort(self):
+        """Stop at once, dropping the requests in flight."""
+        for waiting in self._waiting_by_ref.values():
+            waiting.cancel()
+        await self._web.abort()
+
     def answer(self, caller_ref, answer):
         """Answer a waiting request.
 
--- a/buckthornshift/links/_web_server.py
+++ b/buckthornshift/links/_web_server.py
@@ -49,7 +49,7 @@
         self.bound_port = listener.getsockname()[1]
         config = uvicorn.Config(
             self.app,
-            log_level="error",
+            log_level="critical",
             access_log=False,
             http="httptools",
             ws="none",
@@ -69,6 +69,12 @@
         self._server.should_exit = True
         await self._task
 
+    async def abort(self):
+        """Stop at once, dropping the requests in flight."""
+        self._server.force_exit = True
+        self._server.should_exit = True
+        await self._task
+
     def _make_listener(self):
         listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
--- a/buckthornshift/load/__init__.py
+++ b/buckthornshift/load/__init__.py
@@ -1,5 +1,12 @@
 """Load, experiments and reports on systems over loopback."""
 
+from ._experiment import (
+    MAX_LENGTH_S,
+    POLICIES_BY_NAME,
+    Experiment,
+    make_runs,
+    parse_experiment,
+)
 from ._local_system import (
     POLL_S,
     READY_TIMEOUT_S,
@@ -21,6 +28,11 @@
     make_catalogue,
     with_id,
 )
+from ._real_run import (
+    RESTART_S,
+    START_DELAY_S,
+    RealRun,
+)
 from ._recorder import (
     MAX_LATENCY_US,
     MAX_RATIO,
@@ -33,6 +45,14 @@
     TimePoint,
     collect_counters,
 )
+from ._report import (
+    NO_VALUE,
+    count_statuses,
+    read_results,
+    render_comparison,
+    render_results,
+    write_results,
+)
 from ._virtual_run import (
     DRAIN_MS,
     RETRY_LOST_MS,
@@ -46,21 +66,28 @@
     "COMMON_TIMES",
     "DRAIN_MS",
     "EntryShare",
+    "Experiment",
     "LoadResult",
     "LocalSystem",
     "MAX_LATENCY_US",
+    "MAX_LENGTH_S",
     "MAX_RATIO",
     "MessageCounts",
+    "NO_VALUE",
     "NotReadyError",
     "PERCENTILES",
+    "POLICIES_BY_NAME",
     "POLL_S",
     "PROFILES_BY_NAME",
     "Profile",
     "RATIO_SCALE",
     "READY_TIMEOUT_S",
+    "RESTART_S",
     "RETRY_LOST_MS",
+    "RealRun",
     "Recorder",
     "SIGNIFICANT_DIGITS",
+    "START_DELAY_S",
     "SizeClass",
     "SystemShape",
     "TimeClass",
@@ -69,7 +96,14 @@
     "WARM_UP_MS",
     "collect_counters",
     "compute_job_work_ms",
+    "count_statuses",
     "draw_arrivals",
     "make_catalogue",
+    "make_runs",
+    "parse_experiment",
+    "read_results",
+    "render_comparison",
+    "render_results",
     "with_id",
+    "write_results",
 ]
--- /dev/null
+++ b/buckthornshift/load/_real_run.py
@@ -0,0 +1,224 @@
+"""Loads on real sockets over loopback, open loop: arrivals follow a schedule."""
+
+import asyncio
+import random
+import time
+
+from ..callers import CallerClient, NoAnswerError
+from ..contracts import JobStatus
+from ..core import CoreSettings
+from ..proving import FaultKind, RunPlan
+from ..standins import BackendFaults, PlatformFaults
+from ._local_system import LocalSystem, SystemShape
+from ._profiles import draw_arrivals, make_catalogue, with_id
+from ._recorder import Recorder, collect_counters
+
+RESTART_S = 0.5
+START_DELAY_S = 0.2
+
+
+class RealRun:
+    """Run a profile on a system over loopback and record what callers see.
+
+    It takes the same parameters as :class:`VirtualRun` and gives the same result.
+
+    :param name: name of the run.
+    :param plan: the :class:`~buckthornshift.proving.RunPlan` with sizes and faults.
+    :param profile: the :class:`Profile`.
+    :param load: offered work as a fraction of the slots' capacity.
+    :param length_ms: length of the load.
+    :param core_settings: settings of the cores.
+    :param on_progress: called with the number of answered jobs, or ``None``.
+    """
+
+    def __init__(
+        self,
+        name="",
+        plan=None,
+        profile=None,
+        load=0.6,
+        length_ms=20_000.0,
+        core_settings=None,
+        on_progress=None,
+    ):
+        self.name = name
+        self.plan = plan or RunPlan()
+        self.profile = profile
+        self.load = load
+        self.length_ms = length_ms
+        self.core_settings = core_settings or CoreSettings()
+        self.on_progress = on_progress
+        self.recorder = None
+        self._system = None
+        self._clients = []
+        self._ended_cores = []
+        self._ended_models = []
+        self._random_state = random.Random(self.plan.seed)
+
+    def run(self):
+        """Run to the end and return the :class:`LoadResult`."""
+        return asyncio.run(self.run_async())
+
+    async def run_async(self):
+        """Run to the end inside an event loop and return the :class:`LoadResult`."""
+        plan = self.plan
+        shape = SystemShape(
+            n_zones=plan.n_zones,
+            n_entries=plan.n_entries,
+            n_servers=plan.n_servers,
+            slots=plan.slots,
+            zone_delay_ms=plan.zone_ms,
+            client_delay_ms=plan.client_ms,
+        )
+        self._system = LocalSystem(
+            shape=shape, core=self.core_settings, random_seed=plan.seed
+        )
+        n_slots = plan.n_servers * plan.slots
+        self.recorder = Recorder(n_slots=n_slots, fixed_ms=2 * plan.client_ms)
+        await self._system.start()
+        try:
+            await self._system.apply_catalogue(make_catalogue(self.profile))
+            await self._run_load(n_slots)
+            return self._finish()
+        finally:
+            for client in self._clients:
+                client.close()
+            await self._system.stop()
+
+    async def _run_load(self, n_slots):
+        self._refresh_clients()
+        arrivals = draw_arrivals(
+            self.profile, self.load, n_slots, self.length_ms, self._random_state
+        )
+        start_s = time.monotonic() + START_DELAY_S
+        faults = [
+            asyncio.ensure_future(self._strike(fault, start_s))
+            for fault in self.plan.faults
+        ]
+        await asyncio.gather(*(self._run_job(a, start_s) for a in arrivals))
+        await asyncio.gather(*faults)
+
+    async def _run_job(self, arrival, start_s):
+        due_s = start_s + arrival.at_ms / 1000.0
+        await asyncio.sleep(max(0.0, due_s - time.monotonic()))
+        job = with_id(arrival.job, time.time() * 1000.0, self._random_state)
+        tasks = [self._submit(job)]
+        if arrival.is_duplicated:
+            tasks.append(self._submit(job))
+        if arrival.cancel_after_ms is not None:
+            tasks.append(self._cancel(job, arrival.cancel_after_ms))
+        answers = await asyncio.gather(*tasks)
+        elapsed_ms = (time.monotonic() - due_s) * 1000.0
+        self._check(job, answers[0])
+        self.recorder.note_answer(arrival, answers[0], elapsed_ms)
+        if self.on_progress is not None:
+            self.on_progress(self.recorder.n_jobs)
+
+    async def _submit(self, job):
+        client = self._random_state.choice(self._clients)
+        try:
+            return await client.submit(job)
+        except NoAnswerError:
+            self.recorder.note_violation("no_answer")
+            return None
+
+    async def _cancel(self, job, after_ms):
+        await asyncio.sleep(after_ms / 1000.0)
+        return await self._random_state.choice(self._clients).cancel(job.job_id)
+
+    def _check(self, job, answer):
+        if answer is None or answer.status is not JobStatus.COMPLETE:
+            return
+        if answer.job_id != job.job_id:
+            self.recorder.note_violation("own_answer")
+        expected = [task.task_id for task in job.tasks]
+        if [result.task_id for result in answer.results] != expected:
+            self.recorder.note_violation("whole_answer")
+
+    def _refresh_clients(self):
+        addresses = self._system.list_addresses()
+        delay_s = self.plan.client_ms / 1000.0
+        # One client an instance, which fails over to the others in turn.
+        self._clients += [
+            CallerClient(
+                addresses=addresses[index:] + addresses[:index], delay_s=delay_s
+            )
+            for index in range(len(addresses))
+        ]
+        del self._clients[: -len(addresses)]
+
+    async def _strike(self, fault, start_s):
+        due_s = start_s + fault.start_ms / 1000.0
+        await asyncio.sleep(max(0.0, due_s - time.monotonic()))
+        length_s = fault.length_ms / 1000.0
+        system = self._system
+        entry = system.entries[fault.target % len(system.entries)]
+        server = system.servers[fault.target % len(system.servers)]
+        match fault.kind:
+            case FaultKind.ENTRY_DEATH:
+                await self._replace_entry(entry, is_graceful=False)
+            case FaultKind.ENTRY_DRAIN:
+                await self._replace_entry(entry, is_graceful=True)
+            case FaultKind.SERVER_LEAVE:
+                await self._replace_server(server)
+            case FaultKind.SERVER_FAILS:
+                await _set_for(server, BackendFaults(fails_everything=True), length_s)
+            case FaultKind.SERVER_SLOW:
+                await _set_for(server, BackendFaults(slow_factor=8.0), length_s)
+            case FaultKind.SERVER_SILENT:
+                await _set_for(server, BackendFaults(is_silent=True), length_s)
+            case FaultKind.LOG_OUTAGE:
+                system.platform.faults = PlatformFaults(is_log_down=True)
+                await asyncio.sleep(length_s)
+                system.platform.faults = PlatformFaults()
+            case FaultKind.LOG_SLOW:
+                system.platform.faults = PlatformFaults(extra_sync_ms=400.0)
+                await asyncio.sleep(length_s)
+                system.platform.faults = PlatformFaults()
+            case FaultKind.LIST_LAG:
+                system.platform.faults = PlatformFaults(list_lag_ms=2_000.0)
+                await asyncio.sleep(length_s)
+                system.platform.faults = PlatformFaults()
+
+    async def _replace_entry(self, entry, is_graceful):
+        system = self._system
+        system.entries.remove(entry)
+        self._refresh_clients()
+        self._ended_cores.append(entry.core)
+        if is_graceful:
+            await entry.drain()
+            await entry.wait()
+        else:
+            await entry.kill()
+            await asyncio.sleep(RESTART_S)
+        await system.add_entry()
+        self._refresh_clients()
+
+    async def _replace_server(self, server):
+        system = self._system
+        system.servers.remove(server)
+        self._ended_models.append(server.model)
+        await server.leave()
+        await system.add_server()
+
+    def _finish(self):
+        cores = [entry.core for entry in self._system.entries] + self._ended_cores
+        models = [s.model for s in self._system.servers] + self._ended_models
+        n_requests = sum(client.counts.n_requests for client in self._clients)
+        messages = collect_counters(
+            cores, n_requests, n_requests, self._system.platform.log.n_appends
+        )
+        starts_by_task = {}
+        for model in models:
+            for key, n_starts in model.n_starts_by_task.items():
+                starts_by_task[key] = starts_by_task.get(key, 0) + n_starts
+        n_accepted = messages.tasks_started - messages.refused_starts
+        if sum(starts_by_task.values()) > n_accepted:
+            self.recorder.note_violation("starts_disagree")
+        return self.recorder.finish(self.name, messages, starts_by_task)
+
+
+async def _set_for(server, faults, length_s):
+    server.model.faults = faults
+    await asyncio.sleep(length_s)
+    server.model.faults = BackendFaults()
