--- a/buckthornshift/cli/_load.py
+++ b/buckthornshift/cli/_load.py
@@ -5,6 +5,7 @@
 
 from ..documents import read_text
 from ..load import (
+    ExternalSystem,
     make_runs,
     parse_experiment,
     read_results,
@@ -12,7 +13,14 @@
     render_results,
     write_results,
 )
-from ._output import ExitCode, echo_json, output_option, report_error, run_async
+from ._output import (
+    AddressType,
+    ExitCode,
+    echo_json,
+    output_option,
+    report_error,
+    run_async,
+)
 
 
 @click.group()
@@ -25,9 +33,14 @@
 @click.option("--out", help="Write the results to this JSON file.")
 @click.option("--seed", type=int, help="Use this seed instead of the declared one.")
 @click.option("--clock", type=click.Choice(["virtual", "real"]), help="Override.")
+@click.option(
+    "--platform",
+    type=AddressType(),
+    help="Run on the separate processes that this platform lists.",
+)
 @output_option
 @run_async
-async def run(files, out, seed, clock, output):
+async def run(files, out, seed, clock, platform, output):
     """Run the experiments declared in FILES.
 
     Exit code 7 if an answer was not whole, own and single.
@@ -39,7 +52,11 @@
             experiment = attrs.evolve(experiment, seed=seed)
         if clock is not None:
             experiment = attrs.evolve(experiment, clock=clock)
+        if platform is not None:
+            experiment = attrs.evolve(experiment, clock="real", policies=("default",))
         for load_run in make_runs(experiment):
+            if platform is not None:
+                load_run.system = ExternalSystem(platform=platform)
             results.append(await _run_one(load_run))
     if out:
         write_results(out, results)
--- a/buckthornshift/load/__init__.py
+++ b/buckthornshift/load/__init__.py
@@ -1,102 +1,40 @@
-"""Load, experiments and reports on systems over loopback."""
+"""Load, experiments and reports on systems over loopback or a virtual clock."""
 
-from ._experiment import (
-    MAX_LENGTH_S,
-    POLICIES_BY_NAME,
-    Experiment,
-    make_runs,
-    parse_experiment,
-)
-from ._local_system import (
-    POLL_S,
-    READY_TIMEOUT_S,
-    LocalSystem,
-    NotReadyError,
-    SystemShape,
-)
+from ._experiment import Experiment, make_runs, parse_experiment
+from ._external_system import ExternalSystem
+from ._local_system import LocalSystem, NotReadyError, SystemShape
 from ._profiles import (
-    COMMON_SIZES,
-    COMMON_TIMES,
     PROFILES_BY_NAME,
     Arrival,
-    EntryShare,
     Profile,
-    SizeClass,
-    TimeClass,
-    compute_job_work_ms,
     draw_arrivals,
     make_catalogue,
-    with_id,
-)
-from ._real_run import (
-    RESTART_S,
-    START_DELAY_S,
-    RealRun,
-)
-from ._recorder import (
-    MAX_LATENCY_US,
-    MAX_RATIO,
-    PERCENTILES,
-    RATIO_SCALE,
-    SIGNIFICANT_DIGITS,
-    LoadResult,
-    MessageCounts,
-    Recorder,
-    TimePoint,
-    collect_counters,
 )
+from ._real_run import RealRun
+from ._recorder import LoadResult, MessageCounts, Recorder, SystemCounts
 from ._report import (
-    NO_VALUE,
-    count_statuses,
     read_results,
     render_comparison,
     render_results,
     write_results,
 )
-from ._virtual_run import (
-    DRAIN_MS,
-    RETRY_LOST_MS,
-    WARM_UP_MS,
-    VirtualRun,
-)
+from ._virtual_run import VirtualRun
 
 __all__ = [
+    "PROFILES_BY_NAME",
     "Arrival",
-    "COMMON_SIZES",
-    "COMMON_TIMES",
-    "DRAIN_MS",
-    "EntryShare",
     "Experiment",
+    "ExternalSystem",
     "LoadResult",
     "LocalSystem",
-    "MAX_LATENCY_US",
-    "MAX_LENGTH_S",
-    "MAX_RATIO",
     "MessageCounts",
-    "NO_VALUE",
     "NotReadyError",
-    "PERCENTILES",
-    "POLICIES_BY_NAME",
-    "POLL_S",
-    "PROFILES_BY_NAME",
     "Profile",
-    "RATIO_SCALE",
-    "READY_TIMEOUT_S",
-    "RESTART_S",
-    "RETRY_LOST_MS",
     "RealRun",
     "Recorder",
-    "SIGNIFICANT_DIGITS",
-    "START_DELAY_S",
-    "SizeClass",
+    "SystemCounts",
     "SystemShape",
-    "TimeClass",
-    "TimePoint",
     "VirtualRun",
-    "WARM_UP_MS",
-    "collect_counters",
-    "compute_job_work_ms",
-    "count_statuses",
     "draw_arrivals",
     "make_catalogue",
     "make_runs",
@@ -104,6 +42,5 @@
     "read_results",
     "render_comparison",
     "render_results",
-    "with_id",
     "write_results",
 ]
--- a/buckthornshift/load/_local_system.py
+++ b/buckthornshift/load/_local_system.py
@@ -14,6 +14,7 @@
     PlatformStandin,
     PlatformStandinSettings,
 )
+from ._recorder import SystemCounts
 
 READY_TIMEOUT_S = 10.0
 POLL_S = 0.05
@@ -64,6 +65,8 @@
         self.platform = None
         self.servers = []
         self.entries = []
+        self._ended_cores = []
+        self._ended_models = []
         self._n_started_entries = 0
         self._n_started_servers = 0
 
@@ -144,6 +147,31 @@
         """Return the (host, port) pairs of the instances for callers."""
         return [("127.0.0.1", entry.http_port) for entry in self.entries]
 
+    def count_slots(self):
+        """Return the slots of all backend servers."""
+        return self.shape.n_servers * self.shape.slots
+
+    def remove_entry(self, entry):
+        """Stop counting on an instance that is about to end; return it."""
+        self.entries.remove(entry)
+        self._ended_cores.append(entry.core)
+        return entry
+
+    def remove_server(self, server):
+        """Stop counting on a server that is about to end; return it."""
+        self.servers.remove(server)
+        self._ended_models.append(server.model)
+        return server
+
+    async def collect(self):
+        """Return the :class:`SystemCounts` since the start."""
+        counts = SystemCounts(n_appends=self.platform.log.n_appends)
+        for core in [entry.core for entry in self.entries] + self._ended_cores:
+            counts.add_counters(attrs.asdict(core.context.counters))
+        for model in [server.model for server in self.servers] + self._ended_models:
+            counts.add_starts(model.n_starts_by_task)
+        return counts
+
     async def stop(self):
         """Stop everything at once."""
         for entry in self.entries:
--- a/buckthornshift/load/_real_run.py
+++ b/buckthornshift/load/_real_run.py
@@ -11,7 +11,7 @@
 from ..standins import BackendFaults, PlatformFaults
 from ._local_system import LocalSystem, SystemShape
 from ._profiles import draw_arrivals, make_catalogue, with_id
-from ._recorder import Recorder, collect_counters
+from ._recorder import Recorder
 
 RESTART_S = 0.5
 START_DELAY_S = 0.2
@@ -28,6 +28,7 @@
     :param load: offered work as a fraction of the slots' capacity.
     :param length_ms: length of the load.
     :param core_settings: settings of the cores.
+    :param system: a system that runs already; ``None`` for one inside this process.
     :param on_progress: called with the number of answered jobs, or ``None``.
     """
 
@@ -39,6 +40,7 @@
         load=0.6,
         length_ms=20_000.0,
         core_settings=None,
+        system=None,
         on_progress=None,
     ):
         self.name = name
@@ -49,10 +51,9 @@
         self.core_settings = core_settings or CoreSettings()
         self.on_progress = on_progress
         self.recorder = None
+        self.system = system
         self._system = None
         self._clients = []
-        self._ended_cores = []
-        self._ended_models = []
         self._random_state = random.Random(self.plan.seed)
 
     def run(self):
@@ -70,16 +71,16 @@
             zone_delay_ms=plan.zone_ms,
             client_delay_ms=plan.client_ms,
         )
-        self._system = LocalSystem(
+        self._system = self.system or LocalSystem(
             shape=shape, core=self.core_settings, random_seed=plan.seed
         )
-        n_slots = plan.n_servers * plan.slots
-        self.recorder = Recorder(n_slots=n_slots, fixed_ms=2 * plan.client_ms)
         await self._system.start()
+        n_slots = self._system.count_slots()
+        self.recorder = Recorder(n_slots=n_slots, fixed_ms=2 * plan.client_ms)
         try:
             await self._system.apply_catalogue(make_catalogue(self.profile))
             await self._run_load(n_slots)
-            return self._finish()
+            return await self._finish()
         finally:
             for client in self._clients:
                 client.close()
@@ -182,9 +183,8 @@
 
     async def _replace_entry(self, entry, is_graceful):
         system = self._system
-        system.entries.remove(entry)
+        system.remove_entry(entry)
         self._refresh_clients()
-        self._ended_cores.append(entry.core)
         if is_graceful:
             await entry.drain()
             await entry.wait()
@@ -196,26 +196,18 @@
 
     async def _replace_server(self, server):
         system = self._system
-        system.servers.remove(server)
-        self._ended_models.append(server.model)
+        system.remove_server(server)
         await server.leave()
         await system.add_server()
 
-    def _finish(self):
-        cores = [entry.core for entry in self._system.entries] + self._ended_cores
-        models = [s.model for s in self._system.servers] + self._ended_models
+    async def _finish(self):
+        counts = await self._system.collect()
         n_requests = sum(client.counts.n_requests for client in self._clients)
-        messages = collect_counters(
-            cores, n_requests, n_requests, self._system.platform.log.n_appends
-        )
-        starts_by_task = {}
-        for model in models:
-            for key, n_starts in model.n_starts_by_task.items():
-                starts_by_task[key] = starts_by_task.get(key, 0) + n_starts
-        n_accepted = messages.tasks_started - messages.refused_starts
-        if sum(starts_by_task.values()) > n_accepted:
+        messages = counts.make_messages(n_requests, n_requests)
+        n_seen = sum(counts.starts_by_task.values())
+        if not counts.is_partial and n_seen > messages.results:
             self.recorder.note_violation("starts_disagree")
-        return self.recorder.finish(self.name, messages, starts_by_task)
+        return self.recorder.finish(self.name, messages, counts.starts_by_task)
 
 
 async def _set_for(server, faults, length_s):
--- a/buckthornshift/load/_recorder.py
+++ b/buckthornshift/load/_recorder.py
@@ -188,28 +188,73 @@
         return max(0, self.client_requests + self.client_answers - 2 * n_jobs)
 
 
-def collect_counters(cores, n_requests, n_answers, n_appends):
-    """Sum the message counts of all entry instances.
+@attrs.define(kw_only=True)
+class SystemCounts:
+    """What the instances, servers and log of a system counted.
 
-    :param cores: the instances' cores.
-    :param n_requests: requests that callers sent.
-    :param n_answers: answers that callers got.
+    :param by_name: sums of the instances' counters by name.
+    :param starts_by_task: real starts by job and task.
     :param n_appends: appends that the log took.
+    :param is_partial: whether a process had ended before its counts were read.
     """
-    counts = MessageCounts(
-        client_requests=n_requests, client_answers=n_answers, appends=n_appends
-    )
-    for core in cores:
-        counters = core.context.counters
-        counts.starts += counters.n_start_messages
-        counts.tasks_started += counters.n_starts
-        counts.refused_starts += counters.n_busy
-        counts.repeated_starts += counters.n_retries + counters.n_hedges
-        counts.queries += counters.n_queries
-        counts.cancels += counters.n_cancels
-        counts.peer_messages += counters.n_peer_messages
-    counts.results = counts.tasks_started - counts.refused_starts
-    return counts
+
+    by_name: dict[str, int] = attrs.field(factory=dict)
+    starts_by_task: dict[str, int] = attrs.field(factory=dict)
+    n_appends: int = 0
+    is_partial: bool = False
+
+    def add_counters(self, counters):
+        """Add the counters of one instance.
+
+        :param counters: counts by name.
+        """
+        _add(self.by_name, counters)
+
+    def add_starts(self, starts_by_task):
+        """Add the starts that one server saw."""
+        _add(self.starts_by_task, starts_by_task)
+
+    def subtract(self, before):
+        """Return what was counted since an earlier reading."""
+        return SystemCounts(
+            by_name=_subtract(self.by_name, before.by_name),
+            starts_by_task=_subtract(self.starts_by_task, before.starts_by_task),
+            n_appends=self.n_appends - before.n_appends,
+            is_partial=self.is_partial,
+        )
+
+    def make_messages(self, n_requests, n_answers):
+        """Return the :class:`MessageCounts`.
+
+        :param n_requests: requests that callers sent.
+        :param n_answers: answers that callers got.
+        """
+        by_name = self.by_name
+        n_starts = by_name.get("n_starts", 0)
+        n_busy = by_name.get("n_busy", 0)
+        return MessageCounts(
+            client_requests=n_requests,
+            client_answers=n_answers,
+            starts=by_name.get("n_start_messages", 0),
+            tasks_started=n_starts,
+            results=n_starts - n_busy,
+            refused_starts=n_busy,
+            repeated_starts=by_name.get("n_retries", 0) + by_name.get("n_hedges", 0),
+            queries=by_name.get("n_queries", 0),
+            cancels=by_name.get("n_cancels", 0),
+            peer_messages=by_name.get("n_peer_messages", 0),
+            appends=self.n_appends,
+        )
+
+
+def _add(totals, counts):
+    for name, count in counts.items():
+        totals[name] = totals.get(name, 0) + count
+
+
+def _subtract(totals, before):
+    differences = {n: count - before.get(n, 0) for n, count in totals.items()}
+    return {name: count for name, count in differences.items() if count}
 
 
 def _describe(answer):
--- a/buckthornshift/load/_virtual_run.py
+++ b/buckthornshift/load/_virtual_run.py
@@ -12,7 +12,7 @@
 from ..core import CoreSettings, JobCancelRequested, JobSubmitted, flatten_document
 from ..proving import FaultInjector, RunPlan, SeenRequest, World
 from ._profiles import draw_arrivals, make_catalogue, with_id
-from ._recorder import Recorder, collect_counters
+from ._recorder import Recorder, SystemCounts
 
 WARM_UP_MS = 2_000.0
 RETRY_LOST_MS = 50.0
@@ -53,7 +53,6 @@
         self._n_answers = 0
         self._next_ref = 0
         self._random_state = random.Random(self.plan.seed)
-        self._ended_cores = []
 
     def run(self):
         """Run to the end and return the :class:`LoadResult`."""
@@ -163,15 +162,13 @@
             if job.job_id not in self._answered_jobs:
                 self.recorder.note_answer(arrival, None, 0.0)
                 self.recorder.note_violation("no_answer")
-        cores = [node.core for node in self.world.entries if node.is_up]
-        messages = collect_counters(
-            cores, self._next_ref, self._n_answers, self.world.log.n_appends
-        )
-        starts = {
-            f"{job_id}/{task_id}": len(seen)
-            for (job_id, task_id), seen in self.world.oracle.starts_by_task.items()
-        }
-        return self.recorder.finish(self.name, messages, starts)
+        counts = SystemCounts(n_appends=self.world.log.n_appends)
+        for core in self.world.cores:
+            counts.add_counters(attrs.asdict(core.context.counters))
+        for (job_id, task_id), seen in self.world.oracle.starts_by_task.items():
+            counts.add_starts({f"{job_id}/{task_id}": len(seen)})
+        messages = counts.make_messages(self._next_ref, self._n_answers)
+        return self.recorder.finish(self.name, messages, counts.starts_by_task)
 
     def _pick_node(self):
         nodes = [n for n in self.world.entries if n.is_up and not n.is_draining]
--- a/buckthornshift/proving/_world.py
+++ b/buckthornshift/proving/_world.py
@@ -141,6 +141,7 @@
         self.servers = [
             ServerNode(index=i, zone=self._name_zone(i)) for i in range(plan.n_servers)
         ]
+        self.cores = []
         self.answer_entry = None
 
     def start(self):
@@ -169,6 +170,7 @@
             settings=self.core_settings,
             random_state=random.Random(self.random_state.random()),
         )
+        self.cores.append(node.core)
         node.record = InstanceRecord(
             instance_id=node.id,
             kind=InstanceKind.ENTRY,
