--- a/buckthornshift/contracts/_platform.py
+++ b/buckthornshift/contracts/_platform.py
@@ -79,7 +79,10 @@
 
     :param version: grows with each change.
     :param instances: the instances.
+    :param is_unchanged: whether the reader knows this version already; the
+        instances are left out then.
     """
 
     version: int = 0
+    is_unchanged: bool = False
     instances: tuple[InstanceRecord, ...] = ()
--- a/buckthornshift/links/_platform_link.py
+++ b/buckthornshift/links/_platform_link.py
@@ -26,10 +26,11 @@
     HttpStatusError,
     msgspec.DecodeError,
 )
-READ_WAIT_MS = 500
+READ_WAIT_MS = 2_000
+LIST_WAIT_MS = 2_000
 READ_RETRY_S = 0.2
-LIST_POLL_S = 0.5
 CALL_TIMEOUT_S = 2.0
+WAIT_TIMEOUT_S = 4.0
 
 
 class LogLink:
@@ -49,6 +50,8 @@
         self._pool = HttpPool(host=host, port=port)
         self._tasks = set()
         self._next_offset = 0
+        # The first read, also after a failure, returns at once to tell the position.
+        self._wait_ms = 0
 
     def start(self):
         """Begin to tail the stream."""
@@ -78,18 +81,20 @@
             try:
                 batch = await self._read()
             except LINK_ERRORS:
+                self._wait_ms = 0
                 self.post(LogReadFailed(stream=self.stream))
                 await asyncio.sleep(READ_RETRY_S)
                 continue
+            self._wait_ms = READ_WAIT_MS
             self._next_offset = batch.next_offset
             self.post(LogRead(stream=self.stream, batch=batch))
 
     async def _read(self):
         path = (
             f"/v1/streams/{self.stream}/records"
-            f"?from={self._next_offset}&wait_ms={READ_WAIT_MS}"
+            f"?from={self._next_offset}&wait_ms={self._wait_ms}"
         )
-        body = await call(self._pool, "GET", path, timeout_s=CALL_TIMEOUT_S)
+        body = await call(self._pool, "GET", path, timeout_s=WAIT_TIMEOUT_S)
         return msgspec.msgpack.decode(body, type=LogBatch)
 
     async def _append(self, append_id, body):
@@ -166,18 +171,20 @@
         last_version = -1
         while True:
             try:
-                body = await call(
-                    self._pool, "GET", "/v1/instances", timeout_s=CALL_TIMEOUT_S
-                )
-                listed = msgspec.json.decode(body, type=InstanceList)
+                listed = await self._read(last_version)
             except LINK_ERRORS:
-                await asyncio.sleep(LIST_POLL_S)
+                await asyncio.sleep(READ_RETRY_S)
+                continue
+            if listed.is_unchanged:
                 continue
-            if listed.version != last_version:
-                last_version = listed.version
-                self.post(InstancesListed(instances=listed))
+            last_version = listed.version
+            self.post(InstancesListed(instances=listed))
             await self._announce_if_missing(listed)
-            await asyncio.sleep(LIST_POLL_S)
+
+    async def _read(self, known_version):
+        path = f"/v1/instances?known={known_version}&wait_ms={LIST_WAIT_MS}"
+        body = await call(self._pool, "GET", path, timeout_s=WAIT_TIMEOUT_S)
+        return msgspec.json.decode(body, type=InstanceList)
 
     async def _announce_if_missing(self, listed):
         record = self._announced
--- a/buckthornshift/standins/_platform_server.py
+++ b/buckthornshift/standins/_platform_server.py
@@ -7,12 +7,13 @@
 import msgspec
 from blacksheep import Content, Response
 
-from ..contracts import InstanceRecord
+from ..contracts import InstanceList, InstanceRecord
 from ..links import WebServer, make_app
 from ._platform_model import ListModel, LogModel, PlatformFaults
 
 MAX_WAIT_MS = 10_000
 TRIM_EVERY = 100
+LIST_CHECK_MS = 50.0
 
 
 @attrs.frozen(kw_only=True)
@@ -44,6 +45,7 @@
         self.faults = PlatformFaults()
         self._grown = asyncio.Event()
         self._sync_lock = asyncio.Lock()
+        self._is_stopping = False
         self._web = WebServer(
             app=self._make_app(), host=self.settings.host, port=self.settings.port
         )
@@ -59,6 +61,7 @@
 
     async def stop(self):
         """Stop serving."""
+        self._is_stopping = True
         self._grown.set()
         await self._web.stop()
 
@@ -105,16 +108,27 @@
             self.log.trim(_read_now_ms())
             batch = self.log.read(name, offset)
             left_ms = deadline - _read_now_ms()
-            if batch.records or left_ms <= 0 or offset < batch.earliest:
+            is_due = left_ms <= 0 or self._is_stopping
+            if batch.records or is_due or offset < batch.earliest:
                 break
             await _wait_for(self._grown, left_ms)
         content = Content(b"application/x-msgpack", msgspec.msgpack.encode(batch))
         return Response(200, content=content)
 
     async def _list(self, request):
-        if self.faults.is_list_down:
-            return Response(503)
-        listed = self.list.read(_read_now_ms(), self.faults.list_lag_ms)
+        known = int(request.query.get("known", ["-1"])[0])
+        wait_ms = min(MAX_WAIT_MS, int(request.query.get("wait_ms", ["0"])[0]))
+        deadline = _read_now_ms() + wait_ms
+        while True:
+            if self.faults.is_list_down:
+                return Response(503)
+            listed = self.list.read(_read_now_ms(), self.faults.list_lag_ms)
+            left_ms = deadline - _read_now_ms()
+            if listed.version != known or left_ms <= 0 or self._is_stopping:
+                break
+            await asyncio.sleep(min(LIST_CHECK_MS, left_ms) / 1000.0)
+        if listed.version == known:
+            listed = InstanceList(version=known, is_unchanged=True)
         return _respond_json(listed)
 
     async def _put(self, request):
