ENH Look at other zones only when the own zone has no room

Change: servers are kept by distance, other zones are a second tier. The baseline policies go on choosing over all servers.

--- a/buckthornshift/core/_placement.py
+++ b/buckthornshift/core/_placement.py
@@ -5,10 +5,6 @@
 from ._servers import Room, Server, ServerHealth
 from ._settings import LeastLoaded, RandomServer, RoundRobin
 
-OWN_FIRST = 0
-SAME_ZONE = 1
-OTHER_ZONE = 2
-
 
 @attrs.define(kw_only=True)
 class Candidate:
@@ -22,6 +18,41 @@
     room: Room = None
 
 
+class Choice:
+    """Servers for the tasks of one moment: the zone's first, others if need be.
+
+    Other zones are looked at only once the own zone has no room, so that the usual
+    cost follows the size of a zone and not of the fleet.
+
+    :param placement: the :class:`Placement`.
+    :param now_ms: the current time.
+    """
+
+    def __init__(self, placement=None, now_ms=0.0):
+        self.placement = placement
+        self.now_ms = now_ms
+        self._tiers = []
+
+    def find(self, task):
+        """Return the first candidate that a task may be sent to, or ``None``.
+
+        :param task: the task.
+        """
+        for index, tier in enumerate(self._list_server_tiers()):
+            if index == len(self._tiers):
+                self._tiers.append(self.placement.list_candidates(tier, self.now_ms))
+            candidate = self.placement.find_fitting(self._tiers[index], task)
+            if candidate is not None:
+                return candidate
+        return None
+
+    def _list_server_tiers(self):
+        servers = self.placement.servers
+        if isinstance(self.placement.settings.policy, LeastLoaded):
+            return (servers.near, servers.far)
+        return (servers.near + servers.far,)
+
+
 class Placement:
     """Choose a server for a task by the configured policy.
 
@@ -43,15 +74,23 @@
         self.random_state = random_state
         self._turn = 0
 
-    def list_candidates(self, now_ms):
-        """Return servers that may get work now with their room, best first.
+    def make_choice(self, now_ms):
+        """Return a :class:`Choice` among the servers as they stand now.
 
+        :param now_ms: the current time.
+        """
+        return Choice(placement=self, now_ms=now_ms)
+
+    def list_candidates(self, servers, now_ms):
+        """Return those servers that may get work now with their room, best first.
+
+        :param servers: servers to look at.
         :param now_ms: the current time.
         :returns: list of :class:`Candidate`.
         """
         candidates = [
             Candidate(server=server, room=self._estimate(server, now_ms))
-            for server in self.servers.iter_open(now_ms)
+            for server in self.servers.iter_open(servers, now_ms)
         ]
         match self.settings.policy:
             case LeastLoaded():
@@ -97,7 +136,7 @@
     def _rank_by_load(self, candidates):
         candidates.sort(
             key=lambda c: (
-                self._rank_distance(c.server),
+                not c.server.is_own,
                 c.server.n_failures > 1,
                 -c.room.count(),
                 -c.server.rank_weight,
@@ -105,13 +144,6 @@
         )
         return candidates
 
-    def _rank_distance(self, server):
-        if server.is_own:
-            return OWN_FIRST
-        if server.record.zone == self.identity.zone:
-            return SAME_ZONE
-        return OTHER_ZONE
-
     def _rotate(self, candidates):
         if not candidates:
             return candidates
--- a/buckthornshift/core/_servers.py
+++ b/buckthornshift/core/_servers.py
@@ -163,6 +163,8 @@
         self.settings = settings
         self.identity = identity
         self.by_id = {}
+        self.near = []
+        self.far = []
         self.n_slots = 0
         self.fleet = FleetLoad(memory_ms=settings.load_memory_ms)
 
@@ -182,6 +184,7 @@
             if server_id not in self.by_id:
                 self.by_id[server_id] = self._make_server(record)
         self._assign_own(entry_ids_by_zone)
+        self._sort_by_distance()
         self.n_slots = sum(s.record.slots for s in self.iter_usable())
         return changes
 
@@ -191,12 +194,15 @@
             if server.is_listed and not server.is_leaving:
                 yield server
 
-    def iter_open(self, now_ms):
-        """Yield servers that may get work now.
+    def iter_open(self, servers, now_ms):
+        """Yield those servers that may get work now.
 
+        :param servers: servers to look at, :attr:`near` or :attr:`far`.
         :param now_ms: the current time.
         """
-        for server in self.iter_usable():
+        for server in servers:
+            if not server.is_listed or server.is_leaving:
+                continue
             if server.busy_until_ms > now_ms:
                 continue
             if server.health is ServerHealth.OK or self._is_trial_due(server, now_ms):
@@ -315,6 +321,12 @@
                 if rival != own_id
             )
 
+    def _sort_by_distance(self):
+        zone = self.identity.zone
+        servers = self.by_id.values()
+        self.near = [server for server in servers if server.record.zone == zone]
+        self.far = [server for server in servers if server.record.zone != zone]
+
     def _is_trial_due(self, server, now_ms):
         if server.health is not ServerHealth.EJECTED:
             return False
--- a/buckthornshift/core/_starting.py
+++ b/buckthornshift/core/_starting.py
@@ -111,13 +111,13 @@
 
     def _plan(self):
         context = self.context
-        candidates = context.placement.list_candidates(context.now_ms)
+        choice = context.placement.make_choice(context.now_ms)
         tasks_by_id = {}
         blocked = set()
         lane = self._pick_lane(blocked)
         while lane is not None:
             task = context.queue.peek(lane)
-            candidate = context.placement.find_fitting(candidates, task)
+            candidate = choice.find(task)
             if candidate is None or not self._take_quota(task):
                 blocked.add(id(lane))
             else:
@@ -221,9 +221,11 @@
 
     def _find_hedge_server(self, task, slow_server):
         context = self.context
-        for candidate in context.placement.list_candidates(context.now_ms):
-            server = candidate.server
-            is_fit = server.health is ServerHealth.OK and server.can_hold(task)
-            if server is not slow_server and is_fit and candidate.room.count() > 0:
-                return server
+        servers = context.servers
+        for tier in (servers.near, servers.far):
+            for candidate in context.placement.list_candidates(tier, context.now_ms):
+                server = candidate.server
+                is_fit = server.health is ServerHealth.OK and server.can_hold(task)
+                if server is not slow_server and is_fit and candidate.room.count() > 0:
+                    return server
         return None
--- a/tests/core/test_limits.py
+++ b/tests/core/test_limits.py
@@ -214,12 +214,12 @@
     server = table.by_id["s0"]
     for _ in range(5):
         table.note_failure(server, 0.0)
-    assert server not in list(table.iter_open(1_000.0))
-    assert server in list(table.iter_open(5_001.0))
+    assert server not in list(table.iter_open(table.near, 1_000.0))
+    assert server in list(table.iter_open(table.near, 5_001.0))
     server.is_on_trial = True
-    assert server not in list(table.iter_open(5_001.0))
+    assert server not in list(table.iter_open(table.near, 5_001.0))
     table.note_success(server)
-    assert server in list(table.iter_open(5_001.0))
+    assert server in list(table.iter_open(table.near, 5_001.0))
 
 
 def test_own_word_of_leaving_outlives_a_lagging_list():
