--- a/buckthornshift/proving/_oracle.py
+++ b/buckthornshift/proving/_oracle.py
@@ -88,6 +88,7 @@
         self.requests = []
         self.starts_by_task = {}
         self.starters_by_job = {}
+        self.events_by_node = {}
         self.outage_jobs = set()
         self.taken_over = set()
         self.version_by_process = {}
@@ -114,7 +115,8 @@
                 self._fail(Invariant.DRAIN_CUTS_NOTHING, request.job.job_id)
 
     def note_event(self, node, event):
-        """Record events that allow what is otherwise forbidden."""
+        """Record events, among them those that allow what is otherwise forbidden."""
+        self.events_by_node.setdefault(node.id, []).append(event.code)
         if event.code is EventCode.JOB_RUN_IN_OUTAGE:
             self.outage_jobs.add(event.subject)
         if event.code is EventCode.JOB_TAKEN_OVER:
