--- a/buckthornshift/core/_servers.py
+++ b/buckthornshift/core/_servers.py
@@ -107,6 +107,11 @@
         """Incarnation of the server's process."""
         return self.record.incarnation
 
+    @property
+    def is_usable(self):
+        """Whether the server may get work, now or after a pause."""
+        return self.is_listed and not self.is_leaving
+
     def estimate_room(self, now_ms, fleet):
         """Return the estimated free slots and how far off they may be.
 
@@ -191,7 +196,7 @@
     def iter_usable(self):
         """Yield servers that may get work now or after a pause."""
         for server in self.by_id.values():
-            if server.is_listed and not server.is_leaving:
+            if server.is_usable:
                 yield server
 
     def iter_open(self, servers, now_ms):
@@ -201,9 +206,7 @@
         :param now_ms: the current time.
         """
         for server in servers:
-            if not server.is_listed or server.is_leaving:
-                continue
-            if server.busy_until_ms > now_ms:
+            if not server.is_usable or server.busy_until_ms > now_ms:
                 continue
             if server.health is ServerHealth.OK or self._is_trial_due(server, now_ms):
                 yield server
--- a/tests/proving/test_mutations.py
+++ b/tests/proving/test_mutations.py
@@ -115,9 +115,7 @@
 
 
 def use_leaving_servers(monkeypatch):
-    monkeypatch.setattr(
-        servers.ServerTable, "iter_usable", lambda self: iter(self.by_id.values())
-    )
+    monkeypatch.setattr(servers.Server, "is_usable", property(lambda self: True))
     monkeypatch.setattr(servers.ServerTable, "note_busy", lambda *args: 0.0)
 
 
