--- a/buckthornshift/core/_starting.py
+++ b/buckthornshift/core/_starting.py
@@ -1,5 +1,7 @@
 """From the queue to the servers: which waiting task starts where, and when."""
 
+import attrs
+
 from ..contracts import AttemptSpec, StartRequest
 from ._actions import EventCode, StartAttempts
 from ._catalogue import ENTRY_PREFIX, OWNER_PREFIX
@@ -13,12 +15,18 @@
     RetryDue,
     TaskReturned,
 )
-from ._servers import ServerHealth
+from ._servers import Server, ServerHealth
 
 PUMP_RETRY_MS = 20.0
 HEDGE_RETRY_MS = 100.0
 
 
+@attrs.define(kw_only=True)
+class _Plan:
+    server: Server = None
+    tasks: list = attrs.field(factory=list)
+
+
 class Starting:
     """Start waiting tasks while there are slots and limits allow it.
 
@@ -108,15 +116,15 @@
         context = self.context
         if not context.queue.n_tasks:
             return
-        for server, tasks in self._plan():
-            self._send(server, tasks)
+        for plan in self._plan():
+            self._send(plan.server, plan.tasks)
         if context.queue.n_tasks and self._pump_timer is None:
             self._pump_timer = context.start_timer(PUMP_RETRY_MS, PumpDue())
 
     def _plan(self):
         context = self.context
         choice = context.placement.make_choice(context.now_ms)
-        tasks_by_id = {}
+        plans_by_id = {}
         blocked = set()
         lane = self._pick_lane(blocked)
         while lane is not None:
@@ -127,10 +135,12 @@
             else:
                 self._dequeue(lane, task)
                 candidate.room.free -= 1
-                tasks_by_id.setdefault(candidate.server.id, []).append(task)
+                plan = plans_by_id.setdefault(
+                    candidate.server.id, _Plan(server=candidate.server)
+                )
+                plan.tasks.append(task)
             lane = self._pick_lane(blocked)
-        by_id = context.servers.by_id
-        return [(by_id[server_id], tasks) for server_id, tasks in tasks_by_id.items()]
+        return plans_by_id.values()
 
     def _pick_lane(self, blocked):
         for lane in self.context.queue.list_lanes():
