ENH Longest task first, large from 30 tasks, refuse earlier, press late jobs

Cause: the jobs above 1.5 of their ideal at 60 % were those of 15 to 60 tasks whose one long task started last; at 120 % a few accepted large jobs missed their deadline behind slots kept for small ones. Change: longest first inside a job; a job counts as large from 31 open tasks; accepted wait at most half the ideal or 500 ms, completion in half the timeout; after half its timeout a large job uses the kept slots.

--- a/buckthornshift/core/_jobs.py
+++ b/buckthornshift/core/_jobs.py
@@ -141,6 +141,7 @@
     :param is_claim_won: whether the log gave the job to this instance.
     :param is_outage_run: whether it was started without a claim in an outage.
     :param is_adopted: whether a former home may have started tasks.
+    :param is_pressed: whether much of its time is used up.
     :param limited_keys: items of the catalogue whose limits the job counts against.
     :param tasks: its tasks in the order of the request.
     :param n_open_tasks: tasks without a result.
@@ -161,6 +162,7 @@
     is_claim_won: bool = False
     is_outage_run: bool = False
     is_adopted: bool = False
+    is_pressed: bool = False
     limited_keys: tuple[str, ...] = ()
     tasks: list = attrs.field(factory=list)
     n_open_tasks: int = 0
--- a/buckthornshift/core/_messages.py
+++ b/buckthornshift/core/_messages.py
@@ -283,6 +283,16 @@
     attempt: Attempt = None
 
 
+@attrs.frozen(kw_only=True)
+class JobPressed:
+    """Timer: a large job has used up much of its time.
+
+    :param job: the job.
+    """
+
+    job: Job = None
+
+
 @attrs.frozen(kw_only=True)
 class RetryDue:
     """Timer: a delayed task may go back to the queue.
--- a/buckthornshift/core/_queue.py
+++ b/buckthornshift/core/_queue.py
@@ -29,7 +29,8 @@
 
     A task's urgency is a point in time: its job's arrival plus a multiple of the
     job's ideal response, at most the job's deadline. Short jobs thereby pass long
-    ones, and long ones are not starved.
+    ones, and long ones are not starved. Inside a job the longest task comes first,
+    because the job is answered when its last task ends.
 
     Tasks wait in lanes by catalogue entry and size of job, so that a limit on one
     entry, or a large job that waits for more room, holds up no other.
@@ -61,7 +62,9 @@
         if not self._n_by_owner.get(owner):
             served = self._served_by_owner.get(owner, 0.0)
             self._served_by_owner[owner] = max(served, self._virtual_time)
-        heapq.heappush(lane.heap, (task.urgent_ms, next(self._sequence), task))
+        heapq.heappush(
+            lane.heap, (task.urgent_ms, -task.expected_ms, next(self._sequence), task)
+        )
         self._count(owner, task, 1)
 
     def list_lanes(self):
@@ -79,7 +82,7 @@
         :param lane: the :class:`Lane`.
         """
         while lane.heap:
-            task = lane.heap[0][2]
+            task = lane.heap[0][3]
             if task.is_waiting:
                 return task
             heapq.heappop(lane.heap)
@@ -99,7 +102,7 @@
         :param lane: the :class:`Lane`.
         :param weight: the owner's weight.
         """
-        task = heapq.heappop(lane.heap)[2]
+        task = heapq.heappop(lane.heap)[3]
         self._count(lane.owner, task, -1)
         served = self._served_by_owner[lane.owner]
         self._virtual_time = max(self._virtual_time, served)
--- a/buckthornshift/core/_settings.py
+++ b/buckthornshift/core/_settings.py
@@ -67,6 +67,8 @@
     :param load_caution: margin that large jobs keep for unknown load, in standard
         deviations.
     :param large_job_tasks: open tasks from which on a job counts as large.
+    :param press_after: part of a large job's timeout after which its waiting tasks
+        are started like those of small jobs.
     :param n_reserved_slots: slots of each server that large jobs leave free.
     :param eject_after_failures: consecutive failures that eject a server.
     :param eject_base_ms: first ejection time.
@@ -96,10 +98,10 @@
     max_outcome_bytes: int = 2_048
     id_skew_ms: float = 30_000.0
     max_queued_tasks: int = 5_000
-    max_wait_ratio: float = 2.0
+    max_wait_ratio: float = 0.5
     min_wait_limit_ms: float = 500.0
     urgency_factor: float = 3.0
-    deadline_margin: float = 0.8
+    deadline_margin: float = 0.5
     attach_patience_ms: float = 1_000.0
     fence_patience_ms: float = 1_000.0
     default_run_ms: float = 300.0
@@ -114,7 +116,8 @@
     busy_max_ms: float = 320.0
     load_memory_ms: float = 500.0
     load_caution: float = 0.5
-    large_job_tasks: int = 10
+    large_job_tasks: int = 30
+    press_after: float = 0.5
     n_reserved_slots: int = 1
     eject_after_failures: int = 5
     eject_base_ms: float = 5_000.0
--- a/buckthornshift/core/_starting.py
+++ b/buckthornshift/core/_starting.py
@@ -10,6 +10,7 @@
     AttemptsOverdue,
     HedgeDue,
     JobDropped,
+    JobPressed,
     JobReady,
     PumpDue,
     RetryDue,
@@ -46,6 +47,7 @@
             TaskReturned: self.on_returned,
             RetryDue: self.on_retry_due,
             HedgeDue: self.on_hedge_due,
+            JobPressed: self.on_job_pressed,
             JobDropped: self.on_job_dropped,
             PumpDue: self.on_pump_due,
         }
@@ -59,6 +61,22 @@
         for task in job.tasks:
             if task.phase is TaskPhase.WAITING:
                 self._enqueue(task)
+        settings = self.context.settings
+        if job.n_open_tasks > settings.large_job_tasks:
+            delay_ms = settings.press_after * job.request.timeout_ms
+            self.context.start_timer(delay_ms, JobPressed(job=job))
+
+    def on_job_pressed(self, message):
+        """Let a large job that is late use the slots kept for small ones."""
+        job = message.job
+        if job.answer is not None:
+            return
+        job.is_pressed = True
+        for task in job.tasks:
+            if task.phase is TaskPhase.WAITING:
+                self.context.quotas.change_queued(job.limited_keys, -1)
+                self.context.queue.drop(job.entry.owner, task)
+                self._enqueue(task)
 
     def on_returned(self, message):
         """Queue a task again, at once or after a delay."""
@@ -172,7 +190,8 @@
     def _enqueue(self, task):
         context = self.context
         job = task.job
-        task.is_large = job.n_open_tasks > context.settings.large_job_tasks
+        is_large = job.n_open_tasks > context.settings.large_job_tasks
+        task.is_large = is_large and not job.is_pressed
         context.queue.push(job.entry.owner, job.request.entry, task)
         context.quotas.change_queued(job.limited_keys, 1)
 
