--- a/tools/make_capacity_page.py
+++ b/tools/make_capacity_page.py
@@ -166,7 +166,7 @@
         )
     lines.append(
         f"\nLeast squares: {per_job_s * 1e3:.2f} ms of a core a job and "
-        f"{per_task_s * 1e6:.0f} µs a task. \"Added\" is the caller's time less the "
+        f'{per_task_s * 1e6:.0f} µs a task. "Added" is the caller\'s time less the '
         "task's own 20 ms; of it the stand-in's synced append takes 4 ms or more.\n"
     )
     return "\n".join(lines)
@@ -295,12 +295,12 @@
 which is {200_000 / jobs_per_s:.0f} s of jobs at this rate |
 | a claim adds little to 50 ms to 1 s of work | {spacing_ms / 2:,.0f} ms on average | \
 at today's 9 instances it is {500.0 * 9 / LOG_APPENDS_PER_S:.0f} ms |
-| shares of {N_TEAMS} limits | {share_ms * 1e3:.0f} µs a task start of a limited owner | \
+| shares of {N_TEAMS} limits | {share_ms * 1e3:.0f} µs a start of a limited owner | \
 {share_core:.1%} of a core at an instance if every owner is limited |
 | control at most {CONTROL_MB:.0f} MB: rest | {rest_mb:.0f} MB above the imported \
 libraries ({libraries_mb:.0f} MB) | carried before claims |
-| {CHANGES_PER_DAY} changes a day within 6 s | one tail read a change | seen in force \
-at 9 instances in one process after 11 to 15 ms, ten changes; not measured at {n_entries} |
+| {CHANGES_PER_DAY} changes a day within 6 s | one tail read a change | in force at 9 \
+instances in one process after 11 to 15 ms, ten changes; not measured at {n_entries} |
 
 What would carry the rest, in the order of need; none of it is built:
 
--- /dev/null
+++ b/tools/make_measurements_table.py
@@ -0,0 +1,53 @@
+"""Print the table of docs/MEASUREMENTS.md from result files of ``load run``.
+
+Usage: python tools/make_measurements_table.py results/*.json
+"""
+
+import sys
+
+from buckthornshift.load import read_results
+from buckthornshift.load._report import count_statuses
+
+HEAD = (
+    "| run | jobs | complete | refused | failed | late | p50 | p90 | p99 | p99.9 "
+    "| wasted a job | inside against default | started twice |\n"
+    "|---|---|---|---|---|---|---|---|---|---|---|---|---|"
+)
+
+
+def render_row(result, default):
+    """Return one row.
+
+    :param result: the :class:`~buckthornshift.load.LoadResult`.
+    :param default: result of the default policy in the same run.
+    """
+    counts = count_statuses(result)
+    ratios = result.ratio_by_percentile
+    cells = [
+        result.name,
+        result.n_jobs,
+        counts["complete"],
+        counts["not_run"],
+        counts["failed"] + counts["none"],
+        result.n_late,
+        *(f"{ratios[key]:.3f}" for key in ("50", "90", "99", "99.9")),
+        f"{result.wasted_per_job:.2f}",
+        f"{result.wasted_per_job / default.wasted_per_job:.1f}",
+        result.n_repeated_starts,
+    ]
+    return f"| {' | '.join(map(str, cells))} |"
+
+
+def main():
+    """Print the table."""
+    print(HEAD)
+    for path in sys.argv[1:]:
+        results = read_results(path)
+        for result in results:
+            if result.n_violations:
+                print(f"VIOLATIONS in {result.name}: {result.n_violations}")
+            print(render_row(result, results[0]))
+
+
+if __name__ == "__main__":
+    main()
