--- a/buckthornshift/core/_attaching.py
+++ b/buckthornshift/core/_attaching.py
@@ -6,6 +6,7 @@
 from ._actions import EventCode, SendPeer
 from ._context import fail_unknown
 from ._events import InstancesListed, PeerReceived, PeerSendFailed
+from ._jobs import PeerWaiter
 from ._messages import (
     CancelAsked,
     HomeAsked,
@@ -61,7 +62,17 @@
         }
 
     def on_home_asked(self, message):
-        """Ask the home of a job for its answer."""
+        """Ask the home of a job for its answer, unless it is the one that asks."""
+        waiter = message.waiter
+        if isinstance(waiter, PeerWaiter) and waiter.peer_id == message.home_id:
+            answer = fail_unknown(
+                message.job.job_id,
+                Reason.HOME_UNREACHABLE,
+                "two instances take each other for the home of the job",
+                HOME_RETRY_AFTER_MS,
+            )
+            self.context.post(WaiterAnswered(waiter=waiter, answer=answer))
+            return
         self.context.note(EventCode.JOB_ATTACHED, message.job.job_id, message.home_id)
         self._open(message, message.job.timeout_ms + ANSWER_SLACK_MS)
 
--- a/buckthornshift/core/_submission.py
+++ b/buckthornshift/core/_submission.py
@@ -203,8 +203,11 @@
 
     def _accept(self, arrival, digest):
         context = self.context
+        # A job whose claim is already here would only be sent back by any other.
+        is_bound = context.claims.find(arrival.job.job_id) is not None
         is_late_drain = (
             context.is_draining
+            and not is_bound
             and context.now_ms - context.drain_started_ms
             >= context.settings.drain_accept_ms
         )
--- a/tests/proving/test_seeds.py
+++ b/tests/proving/test_seeds.py
@@ -42,6 +42,13 @@
     assert result.violation is None, result.detail
 
 
+@pytest.mark.parametrize("seed", [2050, 2221])
+def test_draining_home_of_a_withdrawn_job_is_not_asked_forever(seed):
+    """A draining home passed a job on, and its new owner asked the home again."""
+    result = run_seed(seed)
+    assert result.violation is None, result.detail
+
+
 def test_request_behind_a_pause_survives_a_drain():
     """An instance that was paused while draining exited before a waiting request."""
     result = run_seed(27)
