MNT One load plan for both clocks, one owner of tasks, one conflict answer; drop what nothing used

Logic that stood twice: constructors of the runs, spawning of tasks in three links, the conflict refusal, showing an answer, waiting for a signal.

--- a/buckthornshift/cli/_jobs.py
+++ b/buckthornshift/cli/_jobs.py
@@ -64,12 +64,7 @@
     job_id = job_id or make_job_id(time.time() * 1000, random.SystemRandom())
     job = _make_job(job_id, entry, job_file, n_tasks, payload, timeout_ms)
     client = CallerClient(addresses=addresses)
-    try:
-        answer = await client.submit(job)
-    finally:
-        client.close()
-    echo_value(answer, output, _render_answer(answer))
-    return _CODE_BY_STATUS[answer.status]
+    return await _show_answer(client, client.submit(job), output)
 
 
 @click.command()
@@ -80,12 +75,7 @@
 async def cancel(addresses, job_id, output):
     """Cancel the job JOB_ID and print what became of it."""
     client = CallerClient(addresses=addresses)
-    try:
-        answer = await client.cancel(job_id)
-    finally:
-        client.close()
-    echo_value(answer, output, _render_answer(answer))
-    return _CODE_BY_STATUS[answer.status]
+    return await _show_answer(client, client.cancel(job_id), output)
 
 
 @click.command()
@@ -105,6 +95,15 @@
     return ExitCode.OK
 
 
+async def _show_answer(client, answering, output):
+    try:
+        answer = await answering
+    finally:
+        client.close()
+    echo_value(answer, output, _render_answer(answer))
+    return _CODE_BY_STATUS[answer.status]
+
+
 def _make_job(job_id, entry, job_file, n_tasks, payload, timeout_ms):
     if job_file:
         job = parse_job(job_id, read_text(job_file).encode())
--- a/buckthornshift/cli/_load.py
+++ b/buckthornshift/cli/_load.py
@@ -102,8 +102,8 @@
 async def _run_one(load_run):
     if not hasattr(load_run, "run_async"):
         return load_run.run()
-    length = load_run.length_ms
-    label = f"{load_run.name}, {length / 1000:.0f} s"
+    length = load_run.load_plan.length_ms
+    label = f"{load_run.load_plan.name}, {length / 1000:.0f} s"
     with click.progressbar(length=int(length), label=label, file=_stderr()) as bar:
         load_run.on_progress = lambda n_jobs: bar.update(0, n_jobs)
         result = await load_run.run_async()
--- a/buckthornshift/cli/_standin.py
+++ b/buckthornshift/cli/_standin.py
@@ -39,9 +39,7 @@
     )
     await server.start()
     click.echo(f"platform on {host}:{server.bound_port}")
-    stopped = asyncio.Event()
-    watch_signals(_make_setter(stopped))
-    await stopped.wait()
+    await _wait_for_signal()
     await server.stop()
     return ExitCode.OK
 
@@ -73,9 +71,7 @@
     )
     await server.start()
     click.echo(f"backend server {name} on {host}:{server.bound_port}")
-    stopped = asyncio.Event()
-    watch_signals(_make_setter(stopped))
-    await stopped.wait()
+    await _wait_for_signal()
     await server.leave()
     return ExitCode.OK
 
@@ -99,8 +95,11 @@
     return ExitCode.OK
 
 
-def _make_setter(event):
+async def _wait_for_signal():
+    stopped = asyncio.Event()
+
     async def stop():
-        event.set()
+        stopped.set()
 
-    return stop
+    watch_signals(stop)
+    await stopped.wait()
--- a/buckthornshift/contracts/__init__.py
+++ b/buckthornshift/contracts/__init__.py
@@ -50,6 +50,7 @@
     TaskResult,
     TaskSpec,
     compute_digest,
+    refuse_conflict,
     refuse_job,
 )
 from ._job_id import (
@@ -141,5 +142,6 @@
     "make_job_id",
     "parse_job",
     "parse_job_id_ms",
+    "refuse_conflict",
     "refuse_job",
 ]
--- a/buckthornshift/contracts/_job.py
+++ b/buckthornshift/contracts/_job.py
@@ -7,7 +7,7 @@
 import attrs
 import msgspec
 
-from ._reasons import Reason
+from ._reasons import Reason, Refusal
 
 MAX_TASKS_PER_JOB = 340
 MAX_PAYLOAD_BYTES = 65_536
@@ -101,6 +101,19 @@
     return hashlib.blake2b(body, digest_size=16).hexdigest()
 
 
+def refuse_conflict(job_id):
+    """Build the "not run" answer for a different job under a used id.
+
+    :param job_id: identifier of the job.
+    """
+    refusal = Refusal(
+        reason=Reason.ID_CONFLICT,
+        detail="job_id: got a different job under a used id, "
+        "expected the same job or a new id",
+    )
+    return refuse_job(job_id, refusal)
+
+
 def refuse_job(job_id, refusal):
     """Build the "not run" answer for a refusal.
 
--- a/buckthornshift/core/__init__.py
+++ b/buckthornshift/core/__init__.py
@@ -25,7 +25,6 @@
 from ._events import (
     AppendDone,
     AppendFailed,
-    CallerLeft,
     DrainRequested,
     InstancesListed,
     JobCancelRequested,
@@ -58,7 +57,6 @@
     "AppendDone",
     "AppendFailed",
     "AppendRecord",
-    "CallerLeft",
     "CancelAttempts",
     "Catalogue",
     "ChangeVerdict",
--- a/buckthornshift/core/_claiming.py
+++ b/buckthornshift/core/_claiming.py
@@ -8,13 +8,12 @@
     ClaimsFloor,
     DecodeError,
     Reason,
-    Refusal,
     SnapshotReply,
     SnapshotRequest,
     UnknownMessage,
     decode_message,
     encode_message,
-    refuse_job,
+    refuse_conflict,
 )
 from ._actions import AppendRecord, EventCode, SendPeer
 from ._context import fail_job
@@ -35,7 +34,6 @@
     JobReady,
     JobWithdrawn,
     LogOutageBegan,
-    LogOutageEnded,
     RecoveryWanted,
     WaiterAnswered,
 )
@@ -131,12 +129,7 @@
         is_conflict = message.claim.digest != job.digest
         for waiter in job.waiters:
             if is_conflict:
-                refusal = Refusal(
-                    reason=Reason.ID_CONFLICT,
-                    detail="job_id: got a different job under a used id, "
-                    "expected the same job or a new id",
-                )
-                answer = refuse_job(job.job_id, refusal)
+                answer = refuse_conflict(job.job_id)
                 context.post(WaiterAnswered(waiter=waiter, answer=answer))
                 continue
             context.post(
@@ -208,7 +201,6 @@
         context = self.context
         if context.log_health.note_success(context.now_ms):
             context.note(EventCode.LOG_BACK)
-            context.post(LogOutageEnded())
 
     def _note_failure(self):
         context = self.context
--- a/buckthornshift/core/_events.py
+++ b/buckthornshift/core/_events.py
@@ -37,16 +37,6 @@
     job_id: str = ""
 
 
-@attrs.frozen(kw_only=True)
-class CallerLeft:
-    """A caller closed its connection before the answer.
-
-    :param caller_ref: identifies the request that waited.
-    """
-
-    caller_ref: int = 0
-
-
 @attrs.frozen(kw_only=True)
 class LogRead:
     """Records were read from a stream of the log.
--- a/buckthornshift/core/_messages.py
+++ b/buckthornshift/core/_messages.py
@@ -246,11 +246,6 @@
     """The log went out of reach."""
 
 
-@attrs.frozen(kw_only=True)
-class LogOutageEnded:
-    """The log is within reach again."""
-
-
 @attrs.frozen(kw_only=True)
 class DeadlineReached:
     """Timer: a job's deadline.
--- a/buckthornshift/core/_submission.py
+++ b/buckthornshift/core/_submission.py
@@ -10,12 +10,13 @@
     Reason,
     Refusal,
     compute_digest,
+    refuse_conflict,
     refuse_job,
 )
 from ._actions import EventCode
 from ._catalogue import ENTRY_PREFIX, OWNER_PREFIX
 from ._context import fail_job, fail_unknown
-from ._events import CallerLeft, JobCancelRequested, JobSubmitted, PeerReceived
+from ._events import JobCancelRequested, JobSubmitted, PeerReceived
 from ._jobs import CallerWaiter, Job, JobPhase, PeerWaiter, Task, TaskPhase
 from ._messages import (
     CancelAsked,
@@ -48,7 +49,6 @@
             JobSubmitted: self.on_submitted,
             SubmissionArrived: self.on_arrived,
             JobCancelRequested: self.on_cancel,
-            CallerLeft: self.on_caller_left,
             PeerReceived: self.on_peer,
             DeadlineReached: self.on_deadline,
         }
@@ -84,14 +84,6 @@
         waiter = CallerWaiter(caller_ref=event.caller_ref)
         self._cancel(waiter, event.job_id, is_from_peer=False)
 
-    def on_caller_left(self, event):
-        """Forget a caller; its job goes on for a resubmission."""
-        waiter = CallerWaiter(caller_ref=event.caller_ref)
-        for job in self.context.jobs.by_id.values():
-            if waiter in job.waiters:
-                job.waiters.remove(waiter)
-                return
-
     def on_deadline(self, message):
         """Answer a job whose deadline has come."""
         job = message.job
@@ -330,12 +322,9 @@
         self._answer(waiter, answer)
 
     def _refuse_conflict(self, arrival):
-        refusal = Refusal(
-            reason=Reason.ID_CONFLICT,
-            detail="job_id: got a different job under a used id, "
-            "expected the same job or a new id",
-        )
-        self._refuse(arrival, refusal)
+        job_id = arrival.job.job_id
+        self.context.note(EventCode.JOB_REFUSED, job_id, Reason.ID_CONFLICT)
+        self._answer(arrival.waiter, refuse_conflict(job_id))
 
     def _refuse(self, arrival, refusal):
         job_id = arrival.job.job_id
--- a/buckthornshift/links/_backend_link.py
+++ b/buckthornshift/links/_backend_link.py
@@ -23,12 +23,13 @@
     NotSentError,
     call,
 )
+from ._task_owner import TaskOwner
 
 JSON_HEADERS = (("content-type", "application/json"),)
 _REPORT_DECODER = msgspec.json.Decoder(ServerReport)
 
 
-class BackendLink:
+class BackendLink(TaskOwner):
     """Own the sockets to one backend server process.
 
     :param record: the platform's record of the server.
@@ -47,13 +48,13 @@
         query_timeout_s=1.0,
         accept_timeout_s=0.25,
     ):
+        super().__init__()
         self.record = record
         self.zone = zone
         self.post = post
         self.query_timeout_s = query_timeout_s
         self.accept_timeout_s = accept_timeout_s
         self._pool = HttpPool(host=record.host, port=record.port)
-        self._tasks = set()
 
     def perform(self, action):
         """Perform an action for this server in a task of its own.
@@ -62,25 +63,19 @@
         """
         match action:
             case StartAttempts(request=request):
-                self._spawn(self._start(request))
+                self.spawn(self._start(request))
             case QueryAttempts(attempt_ids=attempt_ids):
-                self._spawn(self._ask("query", attempt_ids))
+                self.spawn(self._ask("query", attempt_ids))
             case CancelAttempts(attempt_ids=attempt_ids):
-                self._spawn(self._ask("cancel", attempt_ids))
+                self.spawn(self._ask("cancel", attempt_ids))
             case FenceJob(job_id=job_id, term=term):
-                self._spawn(self._fence(job_id, term))
+                self.spawn(self._fence(job_id, term))
 
     def close(self):
         """Drop all connections."""
-        for task in self._tasks:
-            task.cancel()
+        self.cancel_tasks()
         self._pool.close()
 
-    def _spawn(self, coroutine):
-        task = asyncio.ensure_future(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
     async def _start(self, request):
         open_ids = {spec.attempt_id for spec in request.attempts}
         try:
--- a/buckthornshift/links/_peer_link.py
+++ b/buckthornshift/links/_peer_link.py
@@ -16,6 +16,7 @@
     encode_message,
 )
 from ..core import PeerReceived, PeerSendFailed
+from ._task_owner import TaskOwner
 
 SERVICE = "buckthornshift.Peer"
 METHOD = "Deliver"
@@ -78,7 +79,7 @@
         return b""
 
 
-class PeerLink:
+class PeerLink(TaskOwner):
     """Send messages to one other entry instance.
 
     :param sender_id: name of this instance.
@@ -87,26 +88,23 @@
     """
 
     def __init__(self, sender_id="", record=None, post=None):
+        super().__init__()
         self.sender_id = sender_id
         self.record = record
         self.post = post
         self._channel = None
         self._call = None
-        self._tasks = set()
 
     def send(self, message):
         """Send a message; a failure is posted as an event.
 
         :param message: a message of :mod:`buckthornshift.contracts`.
         """
-        task = asyncio.ensure_future(self._send(message))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self.spawn(self._send(message))
 
     async def close(self):
         """Drop the connection."""
-        for task in self._tasks:
-            task.cancel()
+        self.cancel_tasks()
         if self._channel is not None:
             await self._channel.close()
 
--- a/buckthornshift/links/_platform_link.py
+++ b/buckthornshift/links/_platform_link.py
@@ -19,6 +19,7 @@
     NotSentError,
     call,
 )
+from ._task_owner import TaskOwner
 
 LINK_ERRORS = (
     NotSentError,
@@ -33,7 +34,7 @@
 WAIT_TIMEOUT_S = 4.0
 
 
-class LogLink:
+class LogLink(TaskOwner):
     """Tail one stream and append to it.
 
     :param stream: name of the stream.
@@ -43,19 +44,19 @@
     """
 
     def __init__(self, stream="", host="127.0.0.1", port=0, post=None):
+        super().__init__()
         self.stream = stream
         self.host = host
         self.port = port
         self.post = post
         self._pool = HttpPool(host=host, port=port)
-        self._tasks = set()
         self._next_offset = 0
         # The first read, also after a failure, returns at once to tell the position.
         self._wait_ms = 0
 
     def start(self):
         """Begin to tail the stream."""
-        self._spawn(self._tail())
+        self.spawn(self._tail())
 
     def append(self, append_id, body):
         """Append a record; the outcome is posted as an event.
@@ -63,19 +64,13 @@
         :param append_id: identifies the append.
         :param body: the record.
         """
-        self._spawn(self._append(append_id, body))
+        self.spawn(self._append(append_id, body))
 
     def close(self):
         """Stop tailing and drop all connections."""
-        for task in self._tasks:
-            task.cancel()
+        self.cancel_tasks()
         self._pool.close()
 
-    def _spawn(self, coroutine):
-        task = asyncio.ensure_future(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
     async def _tail(self):
         while True:
             try:
--- a/buckthornshift/load/__init__.py
+++ b/buckthornshift/load/__init__.py
@@ -2,6 +2,7 @@
 
 from ._experiment import Experiment, make_runs, parse_experiment
 from ._external_system import ExternalSystem
+from ._load_plan import LoadPlan
 from ._local_system import LocalSystem, NotReadyError, SystemShape
 from ._profiles import (
     PROFILES_BY_NAME,
@@ -25,6 +26,7 @@
     "Arrival",
     "Experiment",
     "ExternalSystem",
+    "LoadPlan",
     "LoadResult",
     "LocalSystem",
     "MessageCounts",
--- a/buckthornshift/load/_experiment.py
+++ b/buckthornshift/load/_experiment.py
@@ -6,6 +6,7 @@
 from ..core import CoreSettings, LeastLoaded, RandomServer, RoundRobin
 from ..documents import parse_json_with_comments
 from ..proving import Fault, RunPlan
+from ._load_plan import LoadPlan
 from ._local_system import SystemShape
 from ._profiles import PROFILES_BY_NAME
 from ._real_run import RealRun
@@ -110,14 +111,15 @@
         is_jittery=False,
         faults=experiment.faults,
     )
-    return run_class(
+    load_plan = LoadPlan(
         name=f"{experiment.name}/{policy_name}",
-        plan=plan,
+        system=plan,
         profile=profile,
         load=experiment.load,
         length_ms=experiment.length_s * 1000.0,
         core_settings=core_settings,
     )
+    return run_class(load_plan=load_plan)
 
 
 def _check_choice(value, choices, where):
--- a/buckthornshift/load/_real_run.py
+++ b/buckthornshift/load/_real_run.py
@@ -6,11 +6,11 @@
 
 from ..callers import CallerClient, NoAnswerError
 from ..contracts import JobStatus
-from ..core import CoreSettings
-from ..proving import FaultKind, RunPlan
+from ..proving import FaultKind
 from ..standins import BackendFaults, PlatformFaults
+from ._load_plan import LoadPlan
 from ._local_system import LocalSystem, SystemShape
-from ._profiles import draw_arrivals, make_catalogue, with_id
+from ._profiles import make_catalogue, with_id
 from ._recorder import Recorder
 
 RESTART_S = 0.5
@@ -22,39 +22,19 @@
 
     It takes the same parameters as :class:`VirtualRun` and gives the same result.
 
-    :param name: name of the run.
-    :param plan: the :class:`~buckthornshift.proving.RunPlan` with sizes and faults.
-    :param profile: the :class:`Profile`.
-    :param load: offered work as a fraction of the slots' capacity.
-    :param length_ms: length of the load.
-    :param core_settings: settings of the cores.
+    :param load_plan: the :class:`LoadPlan`.
     :param system: a system that runs already; ``None`` for one inside this process.
     :param on_progress: called with the number of answered jobs, or ``None``.
     """
 
-    def __init__(
-        self,
-        name="",
-        plan=None,
-        profile=None,
-        load=0.6,
-        length_ms=20_000.0,
-        core_settings=None,
-        system=None,
-        on_progress=None,
-    ):
-        self.name = name
-        self.plan = plan or RunPlan()
-        self.profile = profile
-        self.load = load
-        self.length_ms = length_ms
-        self.core_settings = core_settings or CoreSettings()
+    def __init__(self, load_plan=None, system=None, on_progress=None):
+        self.load_plan = load_plan or LoadPlan()
         self.on_progress = on_progress
-        self.recorder = None
         self.system = system
         self._system = None
+        self.recorder = None
         self._clients = []
-        self._random_state = random.Random(self.plan.seed)
+        self._random_state = random.Random(self.load_plan.system.seed)
 
     def run(self):
         """Run to the end and return the :class:`LoadResult`."""
@@ -62,7 +42,7 @@
 
     async def run_async(self):
         """Run to the end inside an event loop and return the :class:`LoadResult`."""
-        plan = self.plan
+        plan = self.load_plan.system
         shape = SystemShape(
             n_zones=plan.n_zones,
             n_entries=plan.n_entries,
@@ -72,13 +52,13 @@
             client_delay_ms=plan.client_ms,
         )
         self._system = self.system or LocalSystem(
-            shape=shape, core=self.core_settings, random_seed=plan.seed
+            shape=shape, core=self.load_plan.core_settings, random_seed=plan.seed
         )
         await self._system.start()
         n_slots = self._system.count_slots()
         self.recorder = Recorder(n_slots=n_slots, fixed_ms=2 * plan.client_ms)
         try:
-            await self._system.apply_catalogue(make_catalogue(self.profile))
+            await self._system.apply_catalogue(make_catalogue(self.load_plan.profile))
             await self._run_load(n_slots)
             return await self._finish()
         finally:
@@ -88,13 +68,11 @@
 
     async def _run_load(self, n_slots):
         self._refresh_clients()
-        arrivals = draw_arrivals(
-            self.profile, self.load, n_slots, self.length_ms, self._random_state
-        )
+        arrivals = self.load_plan.draw(n_slots, self._random_state)
         start_s = time.monotonic() + START_DELAY_S
         faults = [
             asyncio.ensure_future(self._strike(fault, start_s))
-            for fault in self.plan.faults
+            for fault in self.load_plan.system.faults
         ]
         await asyncio.gather(*(self._run_job(a, start_s) for a in arrivals))
         await asyncio.gather(*faults)
@@ -138,7 +116,7 @@
 
     def _refresh_clients(self):
         addresses = self._system.list_addresses()
-        delay_s = self.plan.client_ms / 1000.0
+        delay_s = self.load_plan.system.client_ms / 1000.0
         # One client an instance, which fails over to the others in turn.
         self._clients += [
             CallerClient(
@@ -207,7 +185,8 @@
         n_seen = sum(counts.starts_by_task.values())
         if not counts.is_partial and n_seen > messages.results:
             self.recorder.note_violation("starts_disagree")
-        return self.recorder.finish(self.name, messages, counts.starts_by_task)
+        name = self.load_plan.name
+        return self.recorder.finish(name, messages, counts.starts_by_task)
 
 
 async def _set_for(server, faults, length_s):
--- a/buckthornshift/load/_virtual_run.py
+++ b/buckthornshift/load/_virtual_run.py
@@ -9,9 +9,10 @@
     CatalogueChange,
     encode_message,
 )
-from ..core import CoreSettings, JobCancelRequested, JobSubmitted, flatten_document
-from ..proving import FaultInjector, RunPlan, SeenRequest, World
-from ._profiles import draw_arrivals, make_catalogue, with_id
+from ..core import JobCancelRequested, JobSubmitted, flatten_document
+from ..proving import FaultInjector, SeenRequest, World
+from ._load_plan import LoadPlan
+from ._profiles import make_catalogue, with_id
 from ._recorder import Recorder, SystemCounts
 
 WARM_UP_MS = 2_000.0
@@ -22,65 +23,44 @@
 class VirtualRun:
     """Run a profile on a world and record what callers see.
 
-    :param name: name of the run.
-    :param plan: the :class:`~buckthornshift.proving.RunPlan` with sizes and faults;
-        fault times count from the start of the load.
-    :param profile: the :class:`Profile`.
-    :param load: offered work as a fraction of the slots' capacity.
-    :param length_ms: length of the load.
-    :param core_settings: settings of the cores.
+    :param load_plan: the :class:`LoadPlan`.
     """
 
-    def __init__(
-        self,
-        name="",
-        plan=None,
-        profile=None,
-        load=0.6,
-        length_ms=60_000.0,
-        core_settings=None,
-    ):
-        self.name = name
-        self.plan = plan or RunPlan()
-        self.profile = profile
-        self.load = load
-        self.length_ms = length_ms
-        self.core_settings = core_settings or CoreSettings()
+    def __init__(self, load_plan=None):
+        self.load_plan = load_plan or LoadPlan()
         self.world = None
         self.recorder = None
         self._requests_by_ref = {}
         self._answered_jobs = set()
         self._n_answers = 0
         self._next_ref = 0
-        self._random_state = random.Random(self.plan.seed)
+        self._random_state = random.Random(self.load_plan.system.seed)
 
     def run(self):
         """Run to the end and return the :class:`LoadResult`."""
         faults = tuple(
             attrs.evolve(fault, start_ms=fault.start_ms + WARM_UP_MS)
-            for fault in self.plan.faults
+            for fault in self.load_plan.system.faults
         )
-        plan = attrs.evolve(self.plan, faults=faults)
-        self.world = World(plan=plan, core_settings=self.core_settings)
+        plan = attrs.evolve(self.load_plan.system, faults=faults)
+        self.world = World(plan=plan, core_settings=self.load_plan.core_settings)
         self.world.answer_entry = self._take_answer
         n_slots = plan.n_servers * plan.slots
         fixed_ms = 2 * plan.client_ms + 2 * plan.near_ms
         self.recorder = Recorder(n_slots=n_slots, fixed_ms=fixed_ms)
         self._start(n_slots)
-        self.world.clock.run_until(WARM_UP_MS + self.length_ms + DRAIN_MS)
+        self.world.clock.run_until(WARM_UP_MS + self.load_plan.length_ms + DRAIN_MS)
         return self._finish()
 
     def _start(self, n_slots):
         world = self.world
         world.start()
-        items = flatten_document(make_catalogue(self.profile))
+        items = flatten_document(make_catalogue(self.load_plan.profile))
         change = CatalogueChange(change_id="first", based_on=-1, items=items)
         world.links.append_directly(CATALOGUE_STREAM, encode_message(change))
         FaultInjector(world=world, callers=self).start()
         world.trim_log()
-        arrivals = draw_arrivals(
-            self.profile, self.load, n_slots, self.length_ms, self._random_state
-        )
+        arrivals = self.load_plan.draw(n_slots, self._random_state)
         for arrival in arrivals:
             world.clock.schedule(WARM_UP_MS + arrival.at_ms, self._arrive, arrival)
 
@@ -168,7 +148,8 @@
         for (job_id, task_id), seen in self.world.oracle.starts_by_task.items():
             counts.add_starts({f"{job_id}/{task_id}": len(seen)})
         messages = counts.make_messages(self._next_ref, self._n_answers)
-        return self.recorder.finish(self.name, messages, counts.starts_by_task)
+        name = self.load_plan.name
+        return self.recorder.finish(name, messages, counts.starts_by_task)
 
     def _pick_node(self):
         nodes = [n for n in self.world.entries if n.is_up and not n.is_draining]
--- a/buckthornshift/proving/_faults.py
+++ b/buckthornshift/proving/_faults.py
@@ -18,9 +18,13 @@
     def start(self):
         """Schedule every fault of the plan."""
         for fault in self.world.plan.faults:
-            self.world.clock.schedule(fault.start_ms, self._strike, fault)
+            self.world.clock.schedule(fault.start_ms, self.strike, fault)
 
-    def _strike(self, fault):
+    def strike(self, fault):
+        """Bring about a fault now, and end it in its time.
+
+        :param fault: the :class:`Fault`.
+        """
         world = self.world
         conditions = world.conditions
         entry = world.entries[fault.target % len(world.entries)]
--- a/features/steps/world_steps.py
+++ b/features/steps/world_steps.py
@@ -174,7 +174,7 @@
         target=target - 1,
     )
     injector = FaultInjector(world=script.world, callers=script.callers)
-    script.at(start_ms, injector._strike, fault)
+    script.at(start_ms, injector.strike, fault)
 
 
 @when("the run goes on to {end_ms:d} ms")
