--- a/buckthornshift/load/_profiles.py
+++ b/buckthornshift/load/_profiles.py
@@ -166,6 +166,9 @@
 def draw_arrivals(profile, load, n_slots, length_ms, random_state):
     """Draw the arrivals of an open-loop load.
 
+    Jobs are drawn until their work makes up the load, and the gaps between them are
+    scaled to the length, so that every seed offers the same load.
+
     :param profile: the :class:`Profile`.
     :param load: offered work as a fraction of the slots' capacity.
     :param n_slots: slots of all backend servers.
@@ -174,14 +177,17 @@
     :returns: list of :class:`Arrival` in order.
     """
     mean_gap_ms = compute_job_work_ms(profile) / (load * n_slots)
+    wanted_ms = load * n_slots * length_ms
     arrivals = []
     at_ms = 0.0
-    while True:
+    work_ms = 0.0
+    while work_ms < wanted_ms:
         rate = _draw_rate(profile, at_ms, length_ms)
         at_ms += random_state.expovariate(1.0) * mean_gap_ms / rate
-        if at_ms >= length_ms:
-            return arrivals
         arrivals.append(_draw_arrival(profile, at_ms, random_state))
+        work_ms += sum(arrivals[-1].run_times_ms)
+    scale = length_ms / at_ms
+    return [attrs.evolve(a, at_ms=a.at_ms * scale) for a in arrivals]
 
 
 def with_id(job, wall_ms, random_state):
--- a/features/failures.feature
+++ b/features/failures.feature
@@ -150,3 +150,25 @@
     And the run goes on to 18000 ms
     Then every promise holds
     And a job passed to a dead instance is answered failed for home_unreachable
+
+  Scenario: An instance starts while the log is away and takes the catalogue from a peer
+    Given 2 zones with 4 instances and 4 servers of 4 slots
+    When from 1000 ms to 9000 ms fault log outage strikes number 1
+    And from 1500 ms to 1501 ms fault entry death strikes number 2
+    And at 6000 ms a caller submits balance-check totals of 2 tasks of 100 ms to instance 2
+    And at 6000 ms a caller submits payout rent of 2 tasks of 100 ms to instance 2
+    And the run goes on to 8000 ms
+    Then job totals is answered complete
+    And job rent is answered not_run for log_unreachable
+    And each task of rent started never
+    And every promise holds
+
+  Scenario: The store is cut off twice in a row
+    Given 2 zones with 4 instances and 4 servers of 4 slots
+    When from 1000 ms to 4000 ms fault log outage strikes number 1
+    And from 4500 ms to 8000 ms fault platform cut strikes number 1
+    And at 2500 ms 10 balance-checks of 1 tasks of 100 ms arrive
+    And at 6500 ms 10 balance-checks of 1 tasks of 100 ms arrive
+    And the run goes on to 12000 ms
+    Then at least 20 jobs are answered complete
+    And every promise holds
