FIX Demand of a restarted instance is taken at once

Cause: demand messages are numbered from one in each process, and a peer took those of a restarted process for old ones until they outnumbered the former's. Found by reading a method that nothing called. Change: the message names its process; the method is gone. Test: test_a_restarted_peer_is_heard.

--- a/buckthornshift/contracts/_peers.py
+++ b/buckthornshift/contracts/_peers.py
@@ -51,10 +51,12 @@
 class OwnerDemand:
     """Tasks that an instance runs or queues for limited items.
 
+    :param incarnation: incarnation of the sender's process.
     :param sequence: grows with each message of one incarnation.
     :param n_tasks_by_key: running and queued tasks by limited item.
     """
 
+    incarnation: str = ""
     sequence: int = 0
     n_tasks_by_key: dict[str, int] = attrs.field(factory=dict)
 
--- a/buckthornshift/core/_membership.py
+++ b/buckthornshift/core/_membership.py
@@ -78,7 +78,11 @@
         if demand is None:
             return
         self._demand_told_ms = context.now_ms
-        message = OwnerDemand(sequence=context.quotas.sequence, n_tasks_by_key=demand)
+        message = OwnerDemand(
+            incarnation=context.identity.incarnation,
+            sequence=context.quotas.sequence,
+            n_tasks_by_key=demand,
+        )
         for peer in context.peers.by_id.values():
             context.counters.n_peer_messages += 1
             context.emit(SendPeer(peer=peer.record, message=message))
--- a/buckthornshift/core/_quotas.py
+++ b/buckthornshift/core/_quotas.py
@@ -9,6 +9,7 @@
 
 @attrs.define(kw_only=True)
 class _PeerDemand:
+    incarnation: str = ""
     sequence: int = -1
     n_tasks_by_key: dict = attrs.field(factory=dict)
 
@@ -47,12 +48,12 @@
         _share_out(units, members, limit - total)
         return units
     left = limit
-    hungry = sorted(members, key=lambda member: demand_by_member[member])
-    while demand_by_member[hungry[0]] <= left // len(hungry):
-        member = hungry.pop(0)
+    unsatisfied = sorted(members, key=lambda member: demand_by_member[member])
+    while demand_by_member[unsatisfied[0]] <= left // len(unsatisfied):
+        member = unsatisfied.pop(0)
         units[member] = demand_by_member[member]
         left -= units[member]
-    _share_out(units, [m for m in members if m in hungry], left)
+    _share_out(units, [m for m in members if m in unsatisfied], left)
     return units
 
 
@@ -101,15 +102,15 @@
         :param message: its :class:`~buckthornshift.contracts.OwnerDemand`.
         """
         peer = self._peers_by_id.get(peer_id)
-        if peer is not None and message.sequence > peer.sequence:
+        if peer is None:
+            return
+        # A restarted peer numbers its messages from the beginning.
+        is_restarted = message.incarnation != peer.incarnation
+        if is_restarted or message.sequence > peer.sequence:
+            peer.incarnation = message.incarnation
             peer.sequence = message.sequence
             peer.n_tasks_by_key = message.n_tasks_by_key
 
-    def forget_sequence(self, peer_id):
-        """Accept a restarted peer's numbering from the beginning."""
-        if peer_id in self._peers_by_id:
-            self._peers_by_id[peer_id] = _PeerDemand()
-
     def change_queued(self, keys, n_tasks):
         """Add to the queued tasks of limited items (negative to take away)."""
         _add_counts(self.queued_by_key, keys, n_tasks)
--- a/tests/core/test_limits.py
+++ b/tests/core/test_limits.py
@@ -107,6 +107,19 @@
     assert shares[1] == 4
 
 
+def test_a_restarted_peer_is_heard():
+    """Its messages were ignored until they outnumbered those of its former life."""
+    book = make_books(2)[0]
+    for sequence in (1, 2, 3):
+        message = OwnerDemand(
+            incarnation="1", sequence=sequence, n_tasks_by_key={KEY: 9}
+        )
+        book.read_demand("e1", message)
+    fresh = OwnerDemand(incarnation="2", sequence=1, n_tasks_by_key={KEY: 1})
+    book.read_demand("e1", fresh)
+    assert book.compute_share(KEY, 10, 0.0) >= 4
+
+
 def test_rate_limit_is_shared():
     book = make_books(1)[0]
     taken = sum(book.take_token(KEY, 10.0, now_ms) for now_ms in range(0, 2_000, 5))
