--- a/buckthornshift/callers/__init__.py
+++ b/buckthornshift/callers/__init__.py
@@ -9,7 +9,6 @@
     ClientCounts,
     NoAnswerError,
     encode_job,
-    is_worth_retrying,
 )
 from ._operator import (
     POLL_S,
@@ -37,5 +36,4 @@
     "VERDICT_TIMEOUT_S",
     "VerdictUnknownError",
     "encode_job",
-    "is_worth_retrying",
 ]
--- a/buckthornshift/callers/_client.py
+++ b/buckthornshift/callers/_client.py
@@ -6,7 +6,7 @@
 import attrs
 import msgspec
 
-from ..contracts import BuckthornshiftError, JobAnswer, JobStatus
+from ..contracts import BuckthornshiftError, JobAnswer
 from ..links import (
     ConnectionLostError,
     HttpPool,
@@ -115,11 +115,3 @@
     body = attrs.asdict(job, recurse=False)
     del body["job_id"]
     return msgspec.json.encode(body)
-
-
-def is_worth_retrying(answer):
-    """Return whether the same job may be submitted again later.
-
-    :param answer: a :class:`~buckthornshift.contracts.JobAnswer`.
-    """
-    return answer.status is JobStatus.NOT_RUN and answer.retry_after_ms > 0
--- a/buckthornshift/load/_experiment.py
+++ b/buckthornshift/load/_experiment.py
@@ -5,7 +5,7 @@
 from ..contracts import InvalidInputError, check_unknown_keys, convert_value
 from ..core import CoreSettings, LeastLoaded, RandomServer, RoundRobin
 from ..documents import parse_json_with_comments
-from ..proving import Fault, RunPlan
+from ..proving import Fault
 from ._load_plan import LoadPlan
 from ._local_system import SystemShape
 from ._profiles import PROFILES_BY_NAME
@@ -99,21 +99,11 @@
 def _make_run(experiment, profile, policy_name):
     core_settings = CoreSettings(policy=POLICIES_BY_NAME[policy_name])
     run_class = VirtualRun if experiment.clock == "virtual" else RealRun
-    shape = experiment.shape
-    plan = RunPlan(
-        seed=experiment.seed,
-        n_zones=shape.n_zones,
-        n_entries=shape.n_entries,
-        n_servers=shape.n_servers,
-        slots=shape.slots,
-        zone_ms=shape.zone_delay_ms,
-        client_ms=shape.client_delay_ms,
-        is_jittery=False,
-        faults=experiment.faults,
-    )
     load_plan = LoadPlan(
         name=f"{experiment.name}/{policy_name}",
-        system=plan,
+        shape=experiment.shape,
+        seed=experiment.seed,
+        faults=experiment.faults,
         profile=profile,
         load=experiment.load,
         length_ms=experiment.length_s * 1000.0,
--- a/buckthornshift/load/_real_run.py
+++ b/buckthornshift/load/_real_run.py
@@ -9,7 +9,7 @@
 from ..proving import FaultKind
 from ..standins import BackendFaults, PlatformFaults
 from ._load_plan import LoadPlan
-from ._local_system import LocalSystem, SystemShape
+from ._local_system import LocalSystem
 from ._profiles import make_catalogue, with_id
 from ._recorder import Recorder
 
@@ -34,7 +34,7 @@
         self._system = None
         self.recorder = None
         self._clients = []
-        self._random_state = random.Random(self.load_plan.system.seed)
+        self._random_state = random.Random(self.load_plan.seed)
 
     def run(self):
         """Run to the end and return the :class:`LoadResult`."""
@@ -42,21 +42,15 @@
 
     async def run_async(self):
         """Run to the end inside an event loop and return the :class:`LoadResult`."""
-        plan = self.load_plan.system
-        shape = SystemShape(
-            n_zones=plan.n_zones,
-            n_entries=plan.n_entries,
-            n_servers=plan.n_servers,
-            slots=plan.slots,
-            zone_delay_ms=plan.zone_ms,
-            client_delay_ms=plan.client_ms,
-        )
+        plan = self.load_plan
         self._system = self.system or LocalSystem(
-            shape=shape, core=self.load_plan.core_settings, random_seed=plan.seed
+            shape=plan.shape, core=plan.core_settings, random_seed=plan.seed
         )
         await self._system.start()
         n_slots = self._system.count_slots()
-        self.recorder = Recorder(n_slots=n_slots, fixed_ms=2 * plan.client_ms)
+        self.recorder = Recorder(
+            n_slots=n_slots, fixed_ms=2 * plan.shape.client_delay_ms
+        )
         try:
             await self._system.apply_catalogue(make_catalogue(self.load_plan.profile))
             await self._run_load(n_slots)
@@ -72,7 +66,7 @@
         start_s = time.monotonic() + START_DELAY_S
         faults = [
             asyncio.ensure_future(self._strike(fault, start_s))
-            for fault in self.load_plan.system.faults
+            for fault in self.load_plan.faults
         ]
         await asyncio.gather(*(self._run_job(a, start_s) for a in arrivals))
         await asyncio.gather(*faults)
@@ -116,7 +110,7 @@
 
     def _refresh_clients(self):
         addresses = self._system.list_addresses()
-        delay_s = self.load_plan.system.client_ms / 1000.0
+        delay_s = self.load_plan.shape.client_delay_ms / 1000.0
         # One client an instance, which fails over to the others in turn.
         self._clients += [
             CallerClient(
--- a/buckthornshift/load/_virtual_run.py
+++ b/buckthornshift/load/_virtual_run.py
@@ -34,15 +34,11 @@
         self._answered_jobs = set()
         self._n_answers = 0
         self._next_ref = 0
-        self._random_state = random.Random(self.load_plan.system.seed)
+        self._random_state = random.Random(self.load_plan.seed)
 
     def run(self):
         """Run to the end and return the :class:`LoadResult`."""
-        faults = tuple(
-            attrs.evolve(fault, start_ms=fault.start_ms + WARM_UP_MS)
-            for fault in self.load_plan.system.faults
-        )
-        plan = attrs.evolve(self.load_plan.system, faults=faults)
+        plan = self.load_plan.make_run_plan(WARM_UP_MS)
         self.world = World(plan=plan, core_settings=self.load_plan.core_settings)
         self.world.answer_entry = self._take_answer
         n_slots = plan.n_servers * plan.slots
--- a/buckthornshift/proving/_fake_links.py
+++ b/buckthornshift/proving/_fake_links.py
@@ -25,7 +25,6 @@
 )
 
 PLATFORM_MS = 0.8
-SYNC_MS = 4.0
 CALL_TIMEOUT_MS = 1_000.0
 READ_INTERVAL_MS = 500.0
 ACCEPT_TIMEOUT_MS = 250.0
@@ -217,7 +216,7 @@
                 CALL_TIMEOUT_MS, world.deliver, node, node.generation, event
             )
             return
-        delay_ms += SYNC_MS + conditions.log_extra_ms
+        delay_ms += world.plan.sync_ms + conditions.log_extra_ms
         world.clock.schedule(delay_ms, self._land, node, node.generation, action)
 
     def _land(self, node, generation, action):
--- a/buckthornshift/proving/_plan.py
+++ b/buckthornshift/proving/_plan.py
@@ -60,6 +60,7 @@
     :param near_ms: one-way delay inside a zone.
     :param zone_ms: one-way delay between zones.
     :param client_ms: one-way delay between callers and instances.
+    :param sync_ms: time that a synced append takes.
     :param is_jittery: whether delays vary at random.
     """
 
@@ -76,6 +77,7 @@
     near_ms: float = 0.3
     zone_ms: float = 1.4
     client_ms: float = 3.0
+    sync_ms: float = 4.0
     is_jittery: bool = True
 
 
--- a/tests/load/test_profiles.py
+++ b/tests/load/test_profiles.py
@@ -4,7 +4,12 @@
 
 import pytest
 
-from buckthornshift.load import PROFILES_BY_NAME, draw_arrivals
+from buckthornshift.load import (
+    PROFILES_BY_NAME,
+    LoadPlan,
+    SystemShape,
+    draw_arrivals,
+)
 
 
 @pytest.mark.parametrize("name", list(PROFILES_BY_NAME))
@@ -21,3 +26,10 @@
     times = [arrival.at_ms for arrival in arrivals]
     assert times == sorted(times)
     assert times[-1] == pytest.approx(40_000.0)
+
+
+def test_the_declared_shape_reaches_both_clocks():
+    """The time of an append was dropped on the way to the runs."""
+    plan = LoadPlan(shape=SystemShape(sync_ms=9.0, zone_delay_ms=1.4, n_zones=4))
+    run_plan = plan.make_run_plan(0.0)
+    assert (run_plan.sync_ms, run_plan.zone_ms, run_plan.n_zones) == (9.0, 1.4, 4)
