FIX Questions keep their number across restarts; a silent fleet is not taken for busy

A peer answered question 2 of a former process; the restarted instance took it for the answer to its own question 2 and gave it to another caller. Ruled out: a mix-up inside the home (its answer named the right job). Numbers are now drawn from 48 random bits.

The instance had last heard of all servers as busy; the estimate of a server drifts to the mean of the fleet, and that mean never aged. Ruled out: the owner's limit (its demand was the only one). The mean now fades while nothing reports. Besides, large jobs left one slot free even on servers that have one.

--- a/buckthornshift/core/_admission.py
+++ b/buckthornshift/core/_admission.py
@@ -82,16 +82,17 @@
             )
         return None
 
-    def check_room(self, job, work_in_flight_ms):
+    def check_room(self, job, work_in_flight_ms, now_ms):
         """Return a refusal for a job that cannot end in time, or ``None``.
 
         :param job: the job at its home, not yet queued.
         :param work_in_flight_ms: expected run time left in started tasks.
+        :param now_ms: the current time.
         """
         for task in job.tasks:
             if not self.servers.can_any_hold(task):
                 return self._refuse_infeasible(task)
-        wait_ms = self._estimate_wait_ms(job.urgent_ms, work_in_flight_ms)
+        wait_ms = self._estimate_wait_ms(job.urgent_ms, work_in_flight_ms, now_ms)
         if self.queue.n_tasks + len(job.tasks) > self.settings.max_queued_tasks:
             return self._refuse_overload(wait_ms)
         return self._check_time(job, wait_ms)
@@ -127,14 +128,16 @@
         work_ms = sum(task.expected_ms for task in job.tasks)
         return max(longest_ms, work_ms / max(1, self.servers.n_slots))
 
-    def estimate_capacity(self):
+    def estimate_capacity(self, now_ms):
         """Return the slots that this instance can count on.
 
         It has its share of the fleet, and what the fleet has to spare.
+
+        :param now_ms: the current time.
         """
         n_slots = self.servers.n_slots
         share = n_slots / self.peers.n_instances
-        spare = n_slots * (1.0 - self.servers.fleet.busy_fraction)
+        spare = n_slots * (1.0 - self.servers.fleet.estimate_busy(now_ms))
         return max(1.0, share, min(n_slots, spare))
 
     def _check_time(self, job, wait_ms):
@@ -158,11 +161,11 @@
         allowed_ms = settings.deadline_margin * job.request.timeout_ms
         return wait_ms > limit_ms or wait_ms + ideal_ms > allowed_ms
 
-    def _estimate_wait_ms(self, urgent_ms, work_in_flight_ms):
+    def _estimate_wait_ms(self, urgent_ms, work_in_flight_ms, now_ms):
         ahead_ms = self.queue.sum_work_ahead_ms(urgent_ms)
         if ahead_ms <= 0:
             return 0.0
-        capacity = self.estimate_capacity()
+        capacity = self.estimate_capacity(now_ms)
         return (ahead_ms + work_in_flight_ms / 2) / capacity
 
     def _refuse_infeasible(self, task):
--- a/buckthornshift/core/_attaching.py
+++ b/buckthornshift/core/_attaching.py
@@ -19,6 +19,8 @@
 ASK_AGAIN_MS = 200.0
 ANSWER_SLACK_MS = 500.0
 HOME_RETRY_AFTER_MS = 1_000
+# Wide enough that two processes of an instance do not draw the same numbers.
+REQUEST_ID_BITS = 48
 
 
 @attrs.define(kw_only=True)
@@ -48,7 +50,6 @@
     def __init__(self, context=None):
         self.context = context
         self.by_request = {}
-        self._next_request = 0
 
     def subscribe(self):
         """Return handlers by message class."""
@@ -128,11 +129,17 @@
             return
         self._ask(question)
 
+    def make_request_id(self):
+        """Draw the number of a question.
+
+        A peer may still answer a question of a former process of this instance.
+        """
+        return self.context.random_state.getrandbits(REQUEST_ID_BITS)
+
     def _open(self, asked, patience_ms):
-        self._next_request += 1
         now_ms = self.context.now_ms
         question = Question(
-            request_id=self._next_request,
+            request_id=self.make_request_id(),
             asked=asked,
             asked_ms=now_ms,
             due_ms=now_ms + patience_ms,
--- a/buckthornshift/core/_placement.py
+++ b/buckthornshift/core/_placement.py
@@ -118,8 +118,12 @@
         is_estimated = isinstance(self.settings.policy, LeastLoaded)
         if not task.is_large or not is_estimated:
             return candidate.room.count()
+        # A server with a single slot has none to spare for small jobs.
+        n_reserved = min(
+            self.settings.n_reserved_slots, candidate.server.record.slots - 1
+        )
         return candidate.room.count(
-            n_reserved=self.settings.n_reserved_slots,
+            n_reserved=n_reserved,
             caution=self.settings.load_caution,
         )
 
--- a/buckthornshift/core/_servers.py
+++ b/buckthornshift/core/_servers.py
@@ -17,17 +17,30 @@
 class FleetLoad:
     """Load of the fleet as seen in the reports of its servers.
 
-    :param busy_fraction: mean part of the slots in use.
-    :param memory_ms: time constant with which a report loses its worth.
+    Without reports the load is taken to fade: an instance that sends nothing hears
+    nothing, and would wait for ever on servers that it last knew as busy.
+
+    :param busy_fraction: mean part of the slots in use, at the last report.
+    :param noted_ms: time of the last report.
+    :param memory_ms: time constant with which a server's report loses its worth.
+    :param silence_ms: time constant with which the mean fades without reports.
     """
 
     busy_fraction: float = 0.0
+    noted_ms: float = 0.0
     memory_ms: float = 500.0
+    silence_ms: float = 1_000.0
 
-    def note(self, n_running, n_slots):
+    def note(self, n_running, n_slots, now_ms):
         """Take one report into the mean."""
         busy = min(1.0, n_running / max(1, n_slots))
         self.busy_fraction += FLEET_GAIN * (busy - self.busy_fraction)
+        self.noted_ms = now_ms
+
+    def estimate_busy(self, now_ms):
+        """Return the part of the slots that is thought to be in use."""
+        age_ms = now_ms - self.noted_ms
+        return self.busy_fraction * math.exp(-age_ms / self.silence_ms)
 
 
 @attrs.define(kw_only=True)
@@ -122,7 +135,7 @@
         :param fleet: the :class:`FleetLoad`.
         :returns: a :class:`Room`.
         """
-        mean = fleet.busy_fraction * self.record.slots
+        mean = fleet.estimate_busy(now_ms) * self.record.slots
         trust = math.exp(-(now_ms - self.others_read_ms) / fleet.memory_ms)
         own = len(self.attempt_ids)
         others = trust * self.others_running + (1.0 - trust) * max(0.0, mean - own)
@@ -171,7 +184,9 @@
         self.near = []
         self.far = []
         self.n_slots = 0
-        self.fleet = FleetLoad(memory_ms=settings.load_memory_ms)
+        self.fleet = FleetLoad(
+            memory_ms=settings.load_memory_ms, silence_ms=settings.fleet_silence_ms
+        )
 
     def read_list(self, records, entry_ids_by_zone):
         """Take over the backend servers of a new list.
@@ -232,7 +247,7 @@
         n_own = len(server.attempt_ids - ended)
         server.others_running = max(0, report.n_running - n_own)
         server.others_read_ms = now_ms
-        self.fleet.note(report.n_running, server.record.slots)
+        self.fleet.note(report.n_running, server.record.slots, now_ms)
         return is_new
 
     def note_busy(self, server, now_ms):
--- a/buckthornshift/core/_settings.py
+++ b/buckthornshift/core/_settings.py
@@ -64,6 +64,8 @@
     :param busy_max_ms: longest such pause.
     :param load_memory_ms: time constant with which a server's reported load is
         forgotten.
+    :param fleet_silence_ms: time constant with which the mean load of the fleet is
+        forgotten while no server reports.
     :param load_caution: margin that large jobs keep for unknown load, in standard
         deviations.
     :param large_job_tasks: open tasks from which on a job counts as large.
@@ -115,6 +117,7 @@
     busy_base_ms: float = 20.0
     busy_max_ms: float = 320.0
     load_memory_ms: float = 500.0
+    fleet_silence_ms: float = 1_000.0
     load_caution: float = 0.5
     large_job_tasks: int = 30
     press_after: float = 0.5
--- a/buckthornshift/core/_submission.py
+++ b/buckthornshift/core/_submission.py
@@ -272,7 +272,9 @@
     def _make_job(self, arrival, digest, entry):
         context = self.context
         job = build_job(context, arrival, digest, entry)
-        refusal = context.admission.check_room(job, context.work_in_flight_ms)
+        refusal = context.admission.check_room(
+            job, context.work_in_flight_ms, context.now_ms
+        )
         if refusal is None:
             owner = context.catalogue.find_owner(entry.owner)
             refusal = context.admission.check_quota(job, owner, context.now_ms)
--- a/tests/proving/test_seeds.py
+++ b/tests/proving/test_seeds.py
@@ -55,6 +55,18 @@
     assert result.violation is None, result.detail
 
 
+def test_answer_to_a_former_process_is_not_taken_for_its_own():
+    """A restarted instance numbered its questions from the beginning again."""
+    result = run_seed(7_000_661)
+    assert result.violation is None, result.detail
+
+
+def test_idle_servers_last_heard_of_as_busy_are_used():
+    """An instance took a silent fleet for busy and left a job waiting."""
+    result = run_seed(7_000_780)
+    assert result.violation is None, result.detail
+
+
 @settings(max_examples=15, derandomize=True, deadline=None, database=None)
 @given(PLANS)
 def test_drawn_plans(plan):
