--- a/buckthornshift/contracts/__init__.py
+++ b/buckthornshift/contracts/__init__.py
@@ -35,6 +35,7 @@
 )
 from ._codec import (
     DecodeError,
+    MessageCodec,
     UnknownMessage,
     decode_message,
     encode_message,
@@ -81,6 +82,7 @@
     Reason,
     Refusal,
 )
+from ._transport import ConnectionLostError, NotSentError
 
 __all__ = [
     "AttemptQuery",
@@ -100,7 +102,9 @@
     "ClaimsBatch",
     "ClaimsFloor",
     "DEFAULT_MAX_TIMEOUT_MS",
+    "ConnectionLostError",
     "DecodeError",
+    "NotSentError",
     "EntrySpec",
     "InstanceKind",
     "InstanceList",
@@ -113,6 +117,7 @@
     "JobRequest",
     "JobStatus",
     "LogBatch",
+    "MessageCodec",
     "LogRecord",
     "MAX_ID_CHARS",
     "MAX_PAYLOAD_BYTES",
--- a/buckthornshift/contracts/_codec.py
+++ b/buckthornshift/contracts/_codec.py
@@ -28,7 +28,6 @@
     SnapshotReply,
     SnapshotRequest,
 )
-_CLASS_BY_TAG = {cls.__name__: cls for cls in _TAGGED}
 _ENVELOPE = msgspec.msgpack.Decoder(tuple[str, msgspec.Raw])
 
 
@@ -46,27 +45,51 @@
     """Bytes that are not a valid message."""
 
 
-def encode_message(message):
-    """Encode a typed message with its kind.
+class MessageCodec:
+    """Encode typed messages with their kind.
 
-    :param message: an instance of a registered message class.
-    :returns: MessagePack bytes.
+    :param classes: the classes of messages.
     """
-    return msgspec.msgpack.encode((type(message).__name__, message))
 
+    def __init__(self, classes=()):
+        self.classes = classes
+        self._decoder_by_tag = {
+            cls.__name__: msgspec.msgpack.Decoder(cls) for cls in classes
+        }
 
-def decode_message(body):
-    """Decode a message that :func:`encode_message` made.
+    def encode(self, message):
+        """Encode a message.
 
-    :param body: MessagePack bytes.
-    :returns: the message, or :class:`UnknownMessage`.
-    :raises DecodeError: if the bytes are malformed.
-    """
-    try:
-        tag, raw = _ENVELOPE.decode(body)
-        cls = _CLASS_BY_TAG.get(tag)
-        if cls is None:
-            return UnknownMessage(tag=tag)
-        return msgspec.msgpack.decode(raw, type=cls)
-    except (msgspec.DecodeError, ValueError) as error:
-        raise DecodeError(str(error)) from error
+        :param message: an instance of one of the classes.
+        :returns: MessagePack bytes.
+        """
+        return msgspec.msgpack.encode((type(message).__name__, message))
+
+    def decode(self, body):
+        """Decode a message that :meth:`encode` made.
+
+        :param body: MessagePack bytes.
+        :returns: the message, or :class:`UnknownMessage`.
+        :raises DecodeError: if the bytes are malformed.
+        """
+        try:
+            tag, raw = _ENVELOPE.decode(body)
+            decoder = self._decoder_by_tag.get(tag)
+            if decoder is None:
+                return UnknownMessage(tag=tag)
+            return decoder.decode(raw)
+        except (msgspec.DecodeError, ValueError, RecursionError) as error:
+            raise DecodeError(str(error)) from error
+
+
+_CODEC = MessageCodec(classes=_TAGGED)
+
+
+def encode_message(message):
+    """Encode a message of the product's own protocols; see :class:`MessageCodec`."""
+    return _CODEC.encode(message)
+
+
+def decode_message(body):
+    """Decode a message of the product's own protocols; see :class:`MessageCodec`."""
+    return _CODEC.decode(body)
--- a/buckthornshift/core/__init__.py
+++ b/buckthornshift/core/__init__.py
@@ -1,5 +1,6 @@
 """Pure decisions of an entry instance: events in, actions out."""
 
+from ..timers import TimerService
 from ._actions import (
     AnswerCaller,
     AppendRecord,
@@ -48,7 +49,6 @@
     RandomServer,
     RoundRobin,
 )
-from ._timers import TimerService
 
 __all__ = [
     "ENTRY_PREFIX",
--- a/buckthornshift/core/_context.py
+++ b/buckthornshift/core/_context.py
@@ -5,6 +5,7 @@
 import attrs
 
 from ..contracts import JobAnswer, JobStatus, TaskResult
+from ..timers import TimerService
 from ._actions import EmitEvent
 from ._admission import Admission
 from ._catalogue import Catalogue
@@ -19,7 +20,6 @@
 from ._retry import RetryBudget, RetryRule
 from ._run_times import RunTimes
 from ._servers import ServerTable
-from ._timers import TimerService
 
 
 @attrs.define(kw_only=True)
--- /dev/null
+++ b/buckthornshift/dispatch/_core.py
@@ -0,0 +1,251 @@
+"""The decisions of one instance: events in, actions out."""
+
+import attrs
+
+from ._actions import LogCode
+from ._admission import Admission
+from ._context import DispatchContext
+from ._declarations import Configuration
+from ._election import Election
+from ._events import ConfigurationRead, PeerReceived, StopRequested, TimeAdvanced
+from ._fleet import Fleet
+from ._holding import Holding
+from ._homes import Homes
+from ._internal import BeatDue, HousekeepingDue, ServersChanged
+from ._membership import Membership
+from ._owner_jobs import OwnerJobs
+from ._peer_messages import ConfigurationShared
+from ._placing import Placing
+from ._runs import RunBook
+from ._settings import DispatchIdentity, DispatchSettings
+from ._stopping import Stopping
+
+HOUSEKEEPING_MS = 100.0
+
+
+class DispatchCore:
+    """The pure core of an instance that dispatches to owned servers.
+
+    It reads no clock, opens no socket and draws no random number of its own.
+
+    :param identity: the :class:`DispatchIdentity`.
+    :param settings: the :class:`DispatchSettings`.
+    :param random_state: a :class:`random.Random`.
+    """
+
+    def __init__(self, identity=None, settings=None, random_state=None):
+        self.context = DispatchContext(
+            identity=identity or DispatchIdentity(),
+            settings=settings or DispatchSettings(),
+            random_state=random_state,
+        )
+        self._build_parts()
+        self._handlers_by_class = {}
+        for part in self._parts:
+            for message_class, handler in part.subscribe().items():
+                self._handlers_by_class.setdefault(message_class, []).append(handler)
+        for message_class, handler in self._subscribe().items():
+            self._handlers_by_class.setdefault(message_class, []).insert(0, handler)
+
+    def start(self, now_ms, wall_ms):
+        """Begin at a given time; return a list of actions.
+
+        :param now_ms: monotonic time in milliseconds.
+        :param wall_ms: milliseconds since the epoch.
+        """
+        context = self.context
+        self._set_time(now_ms, wall_ms)
+        context.started_ms = now_ms
+        context.log(LogCode.STARTED, context.identity.address, **_describe(context))
+        context.post(BeatDue())
+        context.post(HousekeepingDue())
+        return self._run()
+
+    def handle(self, event, now_ms, wall_ms):
+        """Take one event; return a list of actions.
+
+        :param event: an event of this package.
+        :param now_ms: monotonic time in milliseconds.
+        :param wall_ms: milliseconds since the epoch.
+        """
+        self._set_time(now_ms, wall_ms)
+        self._fire_timers()
+        if not isinstance(event, TimeAdvanced):
+            self.context.post(event)
+        return self._run()
+
+    def find_next_due(self):
+        """Return when :class:`TimeAdvanced` is next needed, or ``None``."""
+        return self.context.timers.find_next_due()
+
+    def is_ready(self):
+        """Return whether callers should be sent here."""
+        context = self.context
+        has_owner = self.election.owner is not None and self.election.owner[0]
+        return (
+            not context.is_stopping
+            and context.configuration.version > 0
+            and bool(has_owner)
+        )
+
+    def dump(self):
+        """Return the state as plain values for operators."""
+        context = self.context
+        return {
+            "identity": attrs.asdict(context.identity),
+            "is_stopping": context.is_stopping,
+            "is_ready": self.is_ready(),
+            "config_version": context.configuration.version,
+            "owner": self.election.owner,
+            "term": self.election.term,
+            "n_requests": len(self.homes.by_key),
+            "n_jobs": len(self.jobs.by_id),
+            "n_runs": self.runs.n_open,
+            "peers": [_dump_peer(p) for p in self.membership.by_address.values()],
+            "servers": [_dump_server(s) for s in self.fleet.by_id.values()],
+            "counters": attrs.asdict(context.counters),
+        }
+
+    def _build_parts(self):
+        context = self.context
+        self.membership = Membership(context=context)
+        self.election = Election(context=context, membership=self.membership)
+        self.fleet = Fleet(context=context)
+        self.admission = Admission(context=context, fleet=self.fleet)
+        self.jobs = OwnerJobs(
+            context=context,
+            fleet=self.fleet,
+            election=self.election,
+            admission=self.admission,
+        )
+        self.runs = RunBook(context=context, fleet=self.fleet, jobs=self.jobs)
+        self.holding = Holding(
+            context=context,
+            fleet=self.fleet,
+            membership=self.membership,
+            election=self.election,
+            runs=self.runs,
+        )
+        self.runs.holding = self.holding
+        self.homes = Homes(
+            context=context, membership=self.membership, election=self.election
+        )
+        self.placing = Placing(
+            context=context,
+            fleet=self.fleet,
+            jobs=self.jobs,
+            runs=self.runs,
+            election=self.election,
+        )
+        self.stopping = Stopping(
+            context=context, homes=self.homes, holding=self.holding
+        )
+        self._parts = (
+            self.membership,
+            self.election,
+            self.holding,
+            self.runs,
+            self.jobs,
+            self.homes,
+            self.stopping,
+        )
+
+    def _subscribe(self):
+        return {
+            ConfigurationRead: self._on_configuration_read,
+            PeerReceived: self._on_peer,
+            StopRequested: self._on_stop,
+            HousekeepingDue: self._on_housekeeping,
+            ServersChanged: self.placing.request,
+        }
+
+    def _on_configuration_read(self, event):
+        self._take_configuration(event.configuration, "store")
+
+    def _on_peer(self, event):
+        if isinstance(event.message, ConfigurationShared):
+            self._take_configuration(event.message.configuration, event.address)
+
+    def _on_stop(self, event):
+        self.context.is_stopping = True
+
+    def _on_housekeeping(self, message):
+        self.context.start_timer(HOUSEKEEPING_MS, HousekeepingDue())
+        self.placing.request(message)
+
+    def _take_configuration(self, configuration: Configuration, source):
+        context = self.context
+        if configuration.version <= context.configuration.version:
+            return
+        context.log(
+            LogCode.CONFIGURATION_CHANGED,
+            f"version {configuration.version}",
+            former=context.configuration.version,
+            n_queues=len(configuration.queues),
+            source=source,
+        )
+        context.configuration = configuration
+
+    def _set_time(self, now_ms, wall_ms):
+        self.context.now_ms = max(self.context.now_ms, now_ms)
+        self.context.wall_ms = wall_ms
+
+    def _fire_timers(self):
+        context = self.context
+        message = context.timers.pop_due(context.now_ms)
+        while message is not None:
+            self._deliver(message)
+            self._deliver_posted()
+            message = context.timers.pop_due(context.now_ms)
+
+    def _run(self):
+        context = self.context
+        self._deliver_posted()
+        while self.placing.is_needed:
+            self.placing.pump()
+            self._deliver_posted()
+        actions = context.actions
+        context.actions = []
+        return actions
+
+    def _deliver_posted(self):
+        inbox = self.context.inbox
+        while inbox:
+            self._deliver(inbox.popleft())
+
+    def _deliver(self, message):
+        for handler in self._handlers_by_class.get(type(message), ()):
+            handler(message)
+
+
+def _describe(context):
+    identity = context.identity
+    return {
+        "name": identity.name,
+        "zone": identity.zone,
+        "incarnation": identity.incarnation,
+    }
+
+
+def _dump_peer(peer):
+    return {
+        "address": peer.address,
+        "name": peer.beat.name,
+        "zone": peer.beat.zone,
+        "is_live": peer.is_live,
+        "claim_term": peer.beat.claim_term,
+        "config_version": peer.beat.config_version,
+    }
+
+
+def _dump_server(server):
+    return {
+        "id": server.id,
+        "zone": server.record.zone,
+        "ownership": server.ownership.value,
+        "is_reachable": server.is_reachable,
+        "is_draining": server.record.is_draining,
+        "n_runs": len(server.run_by_name),
+        "free_cpu": server.free.cpu,
+        "slowness": round(server.slowness, 2),
+    }
--- /dev/null
+++ b/buckthornshift/dispatch/_fleet.py
@@ -0,0 +1,182 @@
+"""Backend servers: what runs on each, what it has room for, who owns it."""
+
+import enum
+
+import attrs
+
+from ._declarations import Resources, ServerRecord
+
+
+class Ownership(enum.StrEnum):
+    """Whether this instance owns a server."""
+
+    NONE = "none"
+    CLAIMING = "claiming"
+    OWNED = "owned"
+    FENCED = "fenced"
+    YIELDING = "yielding"
+
+
+@attrs.define(kw_only=True, eq=False)
+class Server:
+    """A backend server.
+
+    :param record: what the platform lists.
+    :param ownership: whether this instance owns it.
+    :param token: fencing token of this instance's orders.
+    :param refused_term: term of the last token that the server refused.
+    :param run_by_name: runs by name of the task.
+    :param used: what the runs of known size hold.
+    :param n_unknown: runs of unknown size, found at a takeover.
+    :param last_acked: number of the last end taken note of.
+    :param told_acked: the number that the server was last told.
+    :param clock_offset_ms: the server's clock less ours, or ``None``.
+    :param clock_read_ms: when that was read.
+    :param leased_until_ms: when the last lease given has lapsed for certain.
+    :param hold_sent_ms: when the renewal in flight was sent, or ``None``.
+    :param answered_ms: when the server last answered.
+    :param is_reachable: whether it answers.
+    :param unlisted_ms: when its entry vanished, or ``None``.
+    :param suspect_until_ms: until when it is used last.
+    :param n_failures: failures in a row.
+    :param slowness: mean of real over estimated run times.
+    """
+
+    record: ServerRecord = ServerRecord()
+    ownership: Ownership = Ownership.NONE
+    token: int = 0
+    refused_term: int = 0
+    run_by_name: dict = attrs.field(factory=dict)
+    used: Resources = Resources()
+    n_unknown: int = 0
+    last_acked: int = 0
+    told_acked: int = 0
+    clock_offset_ms: float | None = None
+    clock_read_ms: float = 0.0
+    leased_until_ms: float = 0.0
+    hold_sent_ms: float | None = None
+    answered_ms: float = 0.0
+    is_reachable: bool = True
+    unlisted_ms: float | None = None
+    suspect_until_ms: float = 0.0
+    n_failures: int = 0
+    slowness: float = 1.0
+
+    @property
+    def id(self):
+        """Id of this life of the server."""
+        return self.record.server_id
+
+    @property
+    def free(self):
+        """What is free, runs of unknown size aside."""
+        return self.record.capacity.minus(self.used)
+
+    @property
+    def is_idle(self):
+        """Whether nothing runs on it."""
+        return not self.run_by_name
+
+    def add_run(self, run):
+        """Reserve a run's room."""
+        self.run_by_name[run.name] = run
+        if run.need is None:
+            self.n_unknown += 1
+        else:
+            self.used = self.used.plus(run.need)
+
+    def remove_run(self, run):
+        """Free a run's room."""
+        if self.run_by_name.get(run.name) is not run:
+            return
+        del self.run_by_name[run.name]
+        if run.need is None:
+            self.n_unknown -= 1
+        else:
+            self.used = self.used.minus(run.need)
+
+    def learn_need(self, run, need):
+        """Take over the size of a run that was not known."""
+        self.remove_run(run)
+        run.need = need
+        self.add_run(run)
+
+    def read_clock(self, clock_ms, now_ms):
+        """Take note of the server's clock.
+
+        The offset lags by the time of the answer's way: leases come out shorter.
+        """
+        self.clock_offset_ms = clock_ms - now_ms
+        self.clock_read_ms = now_ms
+
+
+class Fleet:
+    """The listed servers.
+
+    :param context: the shared :class:`DispatchContext`.
+    """
+
+    def __init__(self, context=None):
+        self.context = context
+        self.by_id = {}
+        self.records = ()
+
+    def read_list(self, records):
+        """Take over a new list.
+
+        :param records: the :class:`ServerRecord` of every listed server.
+        :returns: lists of added, changed and vanished servers.
+        """
+        added, changed, vanished = [], [], []
+        listed_by_id = {record.server_id: record for record in records}
+        self.records = tuple(records)
+        for server_id, record in listed_by_id.items():
+            server = self.by_id.get(server_id)
+            if server is None:
+                server = Server(record=record, answered_ms=self.context.now_ms)
+                self.by_id[server_id] = server
+                added.append(server)
+                continue
+            if server.record != record or server.unlisted_ms is not None:
+                server.record = record
+                server.unlisted_ms = None
+                changed.append(server)
+        for server in self.by_id.values():
+            if server.id not in listed_by_id and server.unlisted_ms is None:
+                server.unlisted_ms = self.context.now_ms
+                vanished.append(server)
+        return added, changed, vanished
+
+    def is_open(self, server):
+        """Return whether a server may get a new task now."""
+        settings = self.context.settings
+        is_listed = (
+            server.unlisted_ms is None
+            or self.context.now_ms - server.unlisted_ms < settings.unlisted_grace_ms
+        )
+        return (
+            server.ownership is Ownership.OWNED
+            and server.is_reachable
+            and not server.record.is_draining
+            and server.n_unknown == 0
+            and is_listed
+        )
+
+    def iter_open(self, service):
+        """Yield the servers of a service that may get a new task now."""
+        for server in self.by_id.values():
+            if server.record.service == service and self.is_open(server):
+                yield server
+
+    def count_owned(self):
+        """Return how many servers this instance owns."""
+        return sum(s.ownership is Ownership.OWNED for s in self.by_id.values())
+
+    def can_ever_run(self, service, step):
+        """Return whether some listed server is large enough for a step's task."""
+        return any(
+            server.record.service == service
+            and server.record.capacity.covers(step.need)
+            and (not step.required_label or step.required_label in server.record.labels)
+            for server in self.by_id.values()
+        )
--- /dev/null
+++ b/buckthornshift/dispatch/_holding.py
@@ -0,0 +1,388 @@
+"""Taking servers over, renewing leases, reading ends, giving servers back."""
+
+from ._actions import FollowServers, ForgetServer, HoldServer, LogCode, SendPeer
+from ._election import TOKEN_RANDOM_BITS, make_token
+from ._events import EndKind, HoldAnswered, PeerReceived, ServersRead, Verdict
+from ._fleet import Ownership
+from ._internal import (
+    AdoptionOver,
+    BeatDue,
+    ClaimBegun,
+    ClaimEnded,
+    HousekeepingDue,
+    PeerLost,
+    ServerRetryDue,
+    ServersChanged,
+)
+from ._jobs import Run, RunPhase
+from ._peer_messages import ServersShared
+
+SHARE_LIST_MS = 2_000.0
+FORGET_UNLISTED_MS = 15_000.0
+# An unacknowledged end on an idle server is acknowledged after this time; well
+# inside the platform's bound for taking note of ends, and rarely without company.
+ACK_IDLE_MS = 500.0
+
+
+class Holding:
+    """Own servers: claim, renew, release.
+
+    :param context: the shared :class:`DispatchContext`.
+    :param fleet: the :class:`Fleet`.
+    :param membership: the :class:`Membership`.
+    :param election: the :class:`Election`.
+    :param runs: the :class:`RunBook`, told of ends and losses.
+    """
+
+    def __init__(
+        self, context=None, fleet=None, membership=None, election=None, runs=None
+    ):
+        self.context = context
+        self.fleet = fleet
+        self.membership = membership
+        self.election = election
+        self.runs = runs
+        self._shared_ms = -1e9
+        election.has_servers = lambda: bool(fleet.by_id)
+        election.list_held = self.list_held
+
+    def subscribe(self):
+        """Return handlers by message class."""
+        return {
+            ClaimBegun: self.on_claim_begun,
+            ClaimEnded: self.on_claim_ended,
+            HoldAnswered: self.on_hold_answered,
+            ServersRead: self.on_servers_read,
+            PeerReceived: self.on_peer,
+            PeerLost: self.on_peer_lost,
+            BeatDue: self.on_beat_due,
+            HousekeepingDue: self.on_housekeeping,
+            ServerRetryDue: self.on_retry_due,
+            AdoptionOver: self.on_adoption_over,
+        }
+
+    def list_held(self):
+        """Return the servers that this instance holds without owning the claim."""
+        return [
+            server.id
+            for server in self.fleet.by_id.values()
+            if server.ownership is Ownership.YIELDING
+        ]
+
+    def on_claim_begun(self, message):
+        """Take every server, but those that a former owner still holds."""
+        self.context.emit(FollowServers(is_on=True))
+        for server in self.fleet.by_id.values():
+            self._take(server)
+        self._share_list()
+
+    def on_claim_ended(self, message):
+        """Release idle servers at once, the others when their runs have ended."""
+        self.context.emit(FollowServers(is_on=False))
+        for server in self.fleet.by_id.values():
+            if server.ownership is Ownership.OWNED and not server.is_idle:
+                server.ownership = Ownership.YIELDING
+            elif server.ownership is not Ownership.YIELDING:
+                self._abandon(server, Ownership.NONE)
+        self.membership.beat_now()
+
+    def on_servers_read(self, event):
+        """Take over a list that was read from the store."""
+        self._read_list(event.servers)
+        if self.election.is_owner:
+            self._share_list()
+
+    def on_peer(self, event):
+        """Take over a list that the owner shares; see what a peer released."""
+        if isinstance(event.message, ServersShared) and not self.election.is_owner:
+            self._read_list(event.message.servers)
+
+    def on_peer_lost(self, message):
+        """Take the servers that a lost instance still held."""
+        self._take_missing()
+
+    def on_beat_due(self, message):
+        """Take servers that were released meanwhile; renew what is due."""
+        self._take_missing()
+
+    def on_retry_due(self, message):
+        """Ask again for a server that was fenced or did not answer."""
+        server = self.fleet.by_id.get(message.server_id)
+        if server is None or server.hold_sent_ms is not None:
+            return
+        match server.ownership:
+            case Ownership.FENCED:
+                self._retake_fenced(server)
+            case Ownership.NONE:
+                self._take(server)
+            case _:
+                self.hold(server)
+
+    def on_housekeeping(self, message):
+        """Renew idle servers' clocks, acknowledge ends, forget what is gone."""
+        context = self.context
+        for server in list(self.fleet.by_id.values()):
+            self._forget_if_gone(server)
+            is_ours = server.ownership in (Ownership.OWNED, Ownership.YIELDING)
+            if not is_ours or server.hold_sent_ms is not None:
+                continue
+            if not server.is_idle or self._is_look_due(server):
+                self.hold(server)
+        if self.election.is_owner:
+            is_due = context.now_ms - self._shared_ms > SHARE_LIST_MS
+            if is_due:
+                self._share_list()
+            self._check_complete()
+
+    def on_adoption_over(self, message):
+        """Stop runs found at a takeover whose job did not come."""
+        server = self.fleet.by_id.get(message.server_id)
+        if server is None:
+            return
+        for run in list(server.run_by_name.values()):
+            if run.task is None and run.phase is RunPhase.RUNNING:
+                self.runs.stop(server, run)
+
+    def hold(self, server):
+        """Renew a server's lease and read its ends, unless that is under way."""
+        context = self.context
+        settings = context.settings
+        if server.hold_sent_ms is not None:
+            return
+        server.hold_sent_ms = context.now_ms
+        lease_end_ms = None
+        if server.clock_offset_ms is not None and not server.is_idle:
+            lease_end_ms = self.grant_lease(server)
+        is_waiting = server.ownership is not Ownership.CLAIMING and not server.is_idle
+        server.told_acked = server.last_acked
+        context.counters.n_holds += 1
+        context.emit(
+            HoldServer(
+                server=server.record,
+                token=server.token,
+                lease_end_ms=lease_end_ms,
+                sent_ms=context.now_ms,
+                last_acked=server.last_acked,
+                wait_ms=int(settings.hold_wait_ms) if is_waiting else 0,
+            )
+        )
+
+    def grant_lease(self, server):
+        """Return the end of a new lease on the server's clock, and remember it."""
+        context = self.context
+        settings = context.settings
+        end_ms = context.now_ms + settings.lapse_ms
+        server.leased_until_ms = max(server.leased_until_ms, end_ms)
+        return int(context.now_ms + server.clock_offset_ms + settings.lease_ms)
+
+    def on_hold_answered(self, event):
+        """Take over what runs and what ended."""
+        server = self.fleet.by_id.get(event.server_id)
+        if server is None or event.sent_ms != server.hold_sent_ms:
+            return
+        server.hold_sent_ms = None
+        if event.token != server.token:
+            return
+        match event.verdict:
+            case Verdict.DONE:
+                self._read_answer(server, event)
+            case Verdict.FENCED:
+                self.lose_to_other(server)
+            case Verdict.OTHER_INCARNATION:
+                self._drop_dead(server)
+            case _:
+                self._miss_answer(server)
+
+    def lose_to_other(self, server):
+        """Take note that another instance owns a server now."""
+        context = self.context
+        context.log(
+            LogCode.SERVER_FENCED,
+            server.id,
+            token=server.token,
+            term=self.election.term,
+        )
+        server.refused_term = server.token >> TOKEN_RANDOM_BITS
+        self._abandon(server, Ownership.FENCED)
+        context.start_timer(
+            context.settings.lost_after_ms, ServerRetryDue(server_id=server.id)
+        )
+
+    def _is_look_due(self, server):
+        """Return whether an idle server is to be asked for its clock or its ends."""
+        age_ms = self.context.now_ms - server.clock_read_ms
+        has_ack = server.told_acked < server.last_acked
+        is_stale = age_ms > self.context.settings.clock_refresh_ms / 2
+        return is_stale or (has_ack and age_ms > ACK_IDLE_MS)
+
+    def _read_list(self, records):
+        context = self.context
+        added, changed, vanished = self.fleet.read_list(records)
+        for server in added:
+            context.log(LogCode.SERVER_LISTED, server.id, service=server.record.service)
+            if self.election.is_owner:
+                self._take(server)
+        for server in changed:
+            if server.record.is_draining:
+                context.log(LogCode.SERVER_DRAINING, server.id)
+        for server in vanished:
+            context.log(LogCode.SERVER_UNLISTED, server.id)
+        if added or changed or vanished:
+            self._shared_ms = -1e9
+            context.post(ServersChanged())
+
+    def _share_list(self):
+        context = self.context
+        self._shared_ms = context.now_ms
+        message = ServersShared(servers=self.fleet.records)
+        for peer in self.membership.list_live():
+            context.emit(SendPeer(address=peer.address, message=message))
+
+    def _take_missing(self):
+        if not self.election.is_owner:
+            return
+        for server in self.fleet.by_id.values():
+            if server.ownership is Ownership.NONE and server.hold_sent_ms is None:
+                self._take(server)
+
+    def _take(self, server):
+        if not self.election.is_owner or server.unlisted_ms is not None:
+            return
+        if server.ownership is Ownership.YIELDING:
+            # Runs of an earlier claim of this instance: they go on under its token.
+            server.ownership = Ownership.OWNED
+            return
+        if server.ownership is not Ownership.NONE or self._is_held_elsewhere(server):
+            return
+        server.ownership = Ownership.CLAIMING
+        server.token = make_token(self.election.term, self.context.random_state)
+        self.hold(server)
+
+    def _is_held_elsewhere(self, server):
+        return any(
+            peer.beat.claim_term or server.id in peer.beat.held_ids
+            for peer in self.membership.list_live()
+        )
+
+    def _is_outbid(self):
+        own = self.election.term
+        return any(p.beat.claim_term > own for p in self.membership.list_live())
+
+    def _retake_fenced(self, server):
+        """Claim a server again if nobody with a higher claim is heard."""
+        server.ownership = Ownership.NONE
+        if not self.election.is_owner or self._is_outbid():
+            return
+        if server.refused_term >= self.election.term:
+            self.election.raise_term()
+        else:
+            self._take(server)
+
+    def _read_answer(self, server, event):
+        self._note_answer(server, event.clock_ms)
+        if server.ownership is Ownership.CLAIMING:
+            self._finish_take(server, event)
+        self.runs.read_running(server, event)
+        for ended in event.ended:
+            if ended.number > server.last_acked:
+                server.last_acked = ended.number
+                self.runs.read_end(server, ended)
+        if server.ownership is Ownership.YIELDING and server.is_idle:
+            self._acknowledge_and_release(server)
+        elif not server.is_idle:
+            self.hold(server)
+        if self.election.is_owner:
+            self._check_complete()
+
+    def _note_answer(self, server, clock_ms):
+        context = self.context
+        server.answered_ms = context.now_ms
+        server.is_reachable = True
+        if clock_ms is not None:
+            server.read_clock(clock_ms, context.now_ms)
+
+    def _finish_take(self, server, event):
+        context = self.context
+        server.ownership = Ownership.OWNED
+        context.log(
+            LogCode.SERVER_TAKEN,
+            server.id,
+            token=server.token,
+            n_running=len(event.running),
+            n_ended=len(event.ended),
+        )
+        for running in event.running:
+            run = Run(
+                name=running.task,
+                number=running.run,
+                server_id=server.id,
+                phase=RunPhase.RUNNING,
+                sent_ms=context.now_ms,
+                percent=running.percent,
+                progressed_ms=context.now_ms,
+            )
+            server.add_run(run)
+            self.runs.adopt_if_known(server, run)
+        if server.n_unknown:
+            context.start_timer(
+                context.settings.adopt_ms, AdoptionOver(server_id=server.id)
+            )
+        context.post(ServersChanged())
+
+    def _acknowledge_and_release(self, server):
+        # The release needs no answer: the next owner is told what is unacknowledged.
+        context = self.context
+        context.log(LogCode.SERVER_RELEASED, server.id)
+        self._abandon(server, Ownership.NONE)
+        self.membership.beat_now()
+
+    def _miss_answer(self, server):
+        context = self.context
+        settings = context.settings
+        silent_ms = context.now_ms - server.answered_ms
+        if server.is_reachable and silent_ms > settings.silent_after_ms:
+            server.is_reachable = False
+            context.log(
+                LogCode.SERVER_UNREACHABLE, server.id, silent_ms=round(silent_ms)
+            )
+            context.post(ServersChanged())
+        is_lapsed = context.now_ms > server.leased_until_ms
+        if not server.is_reachable and is_lapsed and not server.is_idle:
+            self.runs.lose_all(server, EndKind.LAPSED)
+        if server.ownership is Ownership.CLAIMING and not server.is_reachable:
+            server.ownership = Ownership.NONE
+        delay_ms = 0.0 if server.is_reachable else settings.retry_ms
+        context.start_timer(max(1.0, delay_ms), ServerRetryDue(server_id=server.id))
+        if self.election.is_owner:
+            self._check_complete()
+
+    def _abandon(self, server, ownership):
+        """Give up all claims on a server; its runs are no longer ours to tell of."""
+        server.ownership = ownership
+        server.hold_sent_ms = None
+        server.token = 0
+        self.runs.lose_all(server, None)
+
+    def _drop_dead(self, server):
+        server.ownership = Ownership.NONE
+        server.unlisted_ms = self.context.now_ms - FORGET_UNLISTED_MS
+        self.runs.lose_all(server, EndKind.LAPSED)
+        self._forget_if_gone(server)
+
+    def _forget_if_gone(self, server):
+        context = self.context
+        if server.unlisted_ms is None or not server.is_idle:
+            return
+        is_gone = context.now_ms - server.unlisted_ms >= FORGET_UNLISTED_MS
+        if is_gone or not server.is_reachable:
+            self.fleet.by_id.pop(server.id, None)
+            context.emit(ForgetServer(server_id=server.id))
+
+    def _check_complete(self):
+        is_complete = all(
+            server.ownership is Ownership.OWNED
+            for server in self.fleet.by_id.values()
+            if server.unlisted_ms is None
+        )
+        if is_complete and self.fleet.by_id:
+            self.election.note_claim_complete()
--- /dev/null
+++ b/buckthornshift/dispatch/_homes.py
@@ -0,0 +1,285 @@
+"""Callers' requests at the instance that they reached.
+
+It keeps the request, passes the job to the owner, and gives the one answer.
+"""
+
+import attrs
+
+from ._actions import AnswerCaller, LogCode, SendPeer
+from ._declarations import JobSpec, Queue
+from ._events import CallerLeft, JobArrived, PeerLinkOpened, PeerReceived
+from ._internal import CallerDeadline, OwnerChanged, ResubmitDue, SubmissionEnded
+from ._peer_messages import DropJob, EndReason, JobEnded, Outcome, SubmitJob
+
+# The owner answers at the deadline itself; this is the wait for its message.
+OWNER_ANSWER_SLACK_MS = 20.0
+
+
+@attrs.define(kw_only=True)
+class HomeJob:
+    """A caller's job at the instance that it reached.
+
+    :param key: number of the submission.
+    :param caller_ref: the caller's request.
+    :param job: the job.
+    :param queue: its queue.
+    :param arrived_ms: when the request arrived.
+    :param deadline_ms: when the caller stops to wait.
+    :param owner: address and term of the owner that has the job, or ``None``.
+    :param may_have_run: whether an owner was given the job and may have started it.
+    :param resubmit_ms: when nothing of a lost owner can run any more.
+    :param declined_by: address and term of an owner that gave the job back.
+    """
+
+    key: int = 0
+    caller_ref: int = 0
+    job: JobSpec = JobSpec()
+    queue: Queue = Queue()
+    arrived_ms: float = 0.0
+    deadline_ms: float = 0.0
+    owner: tuple | None = None
+    may_have_run: bool = False
+    resubmit_ms: float | None = None
+    declined_by: tuple | None = None
+
+
+class Homes:
+    """Keep callers' requests until each has its one answer.
+
+    :param context: the shared :class:`DispatchContext`.
+    :param membership: the :class:`Membership`.
+    :param election: the :class:`Election`.
+    """
+
+    def __init__(self, context=None, membership=None, election=None):
+        self.context = context
+        self.membership = membership
+        self.election = election
+        self.by_key = {}
+        self._key_by_caller = {}
+        self._next_key = 0
+
+    def subscribe(self):
+        """Return handlers by message class."""
+        return {
+            JobArrived: self.on_arrived,
+            CallerLeft: self.on_caller_left,
+            CallerDeadline: self.on_deadline,
+            OwnerChanged: self.on_owner_changed,
+            ResubmitDue: self.on_resubmit_due,
+            PeerLinkOpened: self.on_link_opened,
+            PeerReceived: self.on_received,
+            SubmissionEnded: self.on_submission_ended,
+        }
+
+    def on_arrived(self, event):
+        """Take a caller's job and pass it to the owner."""
+        context = self.context
+        context.counters.n_jobs += 1
+        self._next_key += 1
+        home_job = HomeJob(
+            key=self._next_key,
+            caller_ref=event.caller_ref,
+            job=event.job,
+            queue=event.queue,
+            arrived_ms=context.now_ms,
+            deadline_ms=context.now_ms + event.timeout_ms,
+        )
+        self.by_key[home_job.key] = home_job
+        self._key_by_caller[event.caller_ref] = home_job.key
+        context.log(
+            LogCode.JOB_ARRIVED,
+            event.job.job_id,
+            queue=event.queue.name,
+            n_tasks=sum(step.n_tasks for step in event.job.steps),
+            timeout_ms=event.timeout_ms,
+            config_version=context.configuration.version,
+        )
+        context.start_timer(
+            event.timeout_ms + OWNER_ANSWER_SLACK_MS, CallerDeadline(key=home_job.key)
+        )
+        self._route(home_job)
+
+    def on_caller_left(self, event):
+        """Drop the job of a caller that closed its connection."""
+        key = self._key_by_caller.pop(event.caller_ref, None)
+        home_job = self.by_key.pop(key, None)
+        if home_job is None:
+            return
+        self.context.log(LogCode.CALLER_LEFT, home_job.job.job_id)
+        if home_job.owner is not None:
+            self._send(home_job.owner[0], DropJob(key=key))
+
+    def on_deadline(self, message):
+        """Answer a caller whose deadline came before the owner's answer."""
+        home_job = self.by_key.get(message.key)
+        if home_job is None:
+            return
+        if home_job.owner is not None:
+            self._send(home_job.owner[0], DropJob(key=home_job.key))
+        outcome = Outcome.FAILED if home_job.may_have_run else Outcome.NOT_RUN
+        self._answer(
+            home_job,
+            JobEnded(
+                key=home_job.key,
+                outcome=outcome,
+                reason=EndReason.DEADLINE,
+                may_have_run=home_job.may_have_run,
+            ),
+        )
+
+    def on_owner_changed(self, message):
+        """Pass on what has no owner, or whose owner was lost."""
+        for home_job in list(self.by_key.values()):
+            self._route(home_job)
+
+    def on_resubmit_due(self, message):
+        """Pass on a job of which nothing can run any more."""
+        home_job = self.by_key.get(message.key)
+        if home_job is not None:
+            self._route(home_job)
+
+    def on_link_opened(self, event):
+        """Repeat what may have been lost with the former connection."""
+        for home_job in self.by_key.values():
+            if home_job.owner is not None and home_job.owner[0] == event.address:
+                self._submit(home_job)
+
+    def on_received(self, event):
+        """Take an owner's answer."""
+        if isinstance(event.message, JobEnded):
+            self._finish(event.address, event.message)
+
+    def on_submission_ended(self, message):
+        """Take the answer of the owner in this very instance."""
+        if message.address == self.context.identity.address:
+            self._finish(message.address, message.ended)
+
+    def refuse_waiting(self, reason):
+        """Refuse every job that no owner has."""
+        for home_job in list(self.by_key.values()):
+            if home_job.owner is None and not home_job.may_have_run:
+                self._answer(
+                    home_job,
+                    JobEnded(outcome=Outcome.NOT_RUN, reason=reason),
+                )
+
+    def _finish(self, address, ended):
+        home_job = self.by_key.get(ended.key)
+        if home_job is None or home_job.owner is None or home_job.owner[0] != address:
+            return
+        if ended.outcome is Outcome.RETURNED:
+            self.context.counters.n_returned += 1
+            home_job.declined_by = home_job.owner[:2]
+            home_job.owner = None
+            home_job.resubmit_ms = None
+            home_job.may_have_run = home_job.may_have_run or ended.may_have_run
+            self._route(home_job)
+            return
+        self._answer(home_job, ended)
+
+    def _route(self, home_job):
+        context = self.context
+        address, term, is_complete = self.election.owner or (None, 0, False)
+        if home_job.owner is not None:
+            if self._is_owner_live(home_job):
+                return
+            if not self._may_pass_on(home_job, term, is_complete):
+                return
+            home_job.may_have_run = True
+        if address is None or home_job.declined_by == (address, term):
+            return
+        home_job.owner = (address, term, self._find_incarnation(address))
+        home_job.resubmit_ms = None
+        context.log(
+            LogCode.JOB_SENT,
+            home_job.job.job_id,
+            owner=address,
+            term=term,
+            is_resent=home_job.may_have_run,
+        )
+        self._submit(home_job)
+
+    def _is_owner_live(self, home_job):
+        address, _, incarnation = home_job.owner
+        return self.membership.is_live(address, incarnation)
+
+    def _may_pass_on(self, home_job, term, is_complete):
+        """Return whether nothing of the lost owner can start or run unseen."""
+        if is_complete and term > home_job.owner[1]:
+            return True
+        context = self.context
+        if home_job.resubmit_ms is None:
+            peer = self.membership.by_address.get(home_job.owner[0])
+            heard_ms = context.now_ms
+            if peer is not None and peer.heard_ms is not None:
+                heard_ms = peer.heard_ms
+            wait_ms = heard_ms + context.settings.resubmit_after_ms - context.now_ms
+            home_job.resubmit_ms = context.now_ms + max(0.0, wait_ms)
+            context.start_timer(max(0.0, wait_ms), ResubmitDue(key=home_job.key))
+        return context.now_ms >= home_job.resubmit_ms
+
+    def _find_incarnation(self, address):
+        peer = self.membership.by_address.get(address)
+        return None if peer is None else peer.incarnation
+
+    def _submit(self, home_job):
+        context = self.context
+        message = SubmitJob(
+            key=home_job.key,
+            job=home_job.job,
+            queue=home_job.queue,
+            waited_ms=context.now_ms - home_job.arrived_ms,
+            left_ms=home_job.deadline_ms - context.now_ms,
+            is_resent=home_job.may_have_run,
+        )
+        self._send(home_job.owner[0], message)
+
+    def _send(self, address, message):
+        context = self.context
+        if address != context.identity.address:
+            context.emit(SendPeer(address=address, message=message))
+            return
+        context.post(
+            PeerReceived(
+                address=address,
+                incarnation=context.identity.incarnation,
+                message=message,
+            )
+        )
+
+    def _answer(self, home_job, ended):
+        context = self.context
+        self.by_key.pop(home_job.key, None)
+        self._key_by_caller.pop(home_job.caller_ref, None)
+        may_have_run = home_job.may_have_run or ended.may_have_run
+        outcome = ended.outcome
+        if outcome is Outcome.NOT_RUN and may_have_run:
+            # A former owner may have started it: "not run" can't be told any more.
+            outcome = Outcome.FAILED
+        counters = context.counters
+        match outcome:
+            case Outcome.COMPLETED:
+                counters.n_completed += 1
+            case Outcome.FAILED:
+                counters.n_failed += 1
+            case Outcome.NOT_RUN:
+                counters.n_refused += 1
+        context.log(
+            LogCode.JOB_ANSWERED,
+            home_job.job.job_id,
+            outcome=outcome,
+            reason=ended.reason,
+            after_ms=round(context.now_ms - home_job.arrived_ms, 1),
+            owner=home_job.owner,
+            may_have_run=may_have_run,
+        )
+        context.emit(
+            AnswerCaller(
+                caller_ref=home_job.caller_ref,
+                outcome=outcome,
+                reason=ended.reason,
+                may_have_run=may_have_run,
+                retry_after_ms=ended.retry_after_ms,
+            )
+        )
--- /dev/null
+++ b/buckthornshift/dispatch/_jobs.py
@@ -0,0 +1,197 @@
+"""Jobs at the owner: tasks, runs, who waits for them."""
+
+import enum
+
+import attrs
+
+from ._declarations import JobSpec, Queue, StepSpec
+
+
+class TaskPhase(enum.StrEnum):
+    """Where a task stands."""
+
+    BLOCKED = "blocked"
+    WAITING = "waiting"
+    PLACED = "placed"
+    DONE = "done"
+
+
+class RunPhase(enum.StrEnum):
+    """What is known of a run."""
+
+    STARTING = "starting"
+    RUNNING = "running"
+    STOPPING = "stopping"
+
+
+@attrs.define(kw_only=True, eq=False)
+class Task:
+    """A task of a job.
+
+    :param name: name under which servers know it.
+    :param step: number of its step.
+    :param spec: its :class:`StepSpec`.
+    :param job: its job.
+    :param phase: where it stands.
+    :param last_run: number of its last run.
+    :param n_failures: runs that ended as failed.
+    :param avoided_ids: servers on which it failed, stalled or was rejected.
+    """
+
+    name: str = ""
+    step: int = 0
+    spec: StepSpec = StepSpec()
+    job: object = None
+    phase: TaskPhase = TaskPhase.WAITING
+    last_run: int = 0
+    n_failures: int = 0
+    avoided_ids: set = attrs.field(factory=set)
+
+
+@attrs.define(kw_only=True, eq=False)
+class Run:
+    """One start of a task on one server.
+
+    It holds its room until the server lists its end, or it is certain that it
+    never began.
+
+    :param task: the task, or ``None`` for one found at a takeover.
+    :param name: name of the task.
+    :param number: number of the run.
+    :param server_id: the server.
+    :param need: what it holds; ``None`` if not known.
+    :param phase: what is known of it.
+    :param sent_ms: when the start was sent.
+    :param percent: progress as last listed.
+    :param progressed_ms: when that last changed.
+    :param stop_acked_ms: when a stop was acknowledged; a later listing without it
+        proves that it is gone.
+    """
+
+    task: Task | None = None
+    name: str = ""
+    number: int = 0
+    server_id: str = ""
+    need: object = None
+    phase: RunPhase = RunPhase.STARTING
+    sent_ms: float = 0.0
+    percent: float = 0.0
+    progressed_ms: float = 0.0
+    stop_acked_ms: float | None = None
+
+
+@attrs.frozen(kw_only=True)
+class Waiter:
+    """A submission that waits for a job.
+
+    :param address: the instance that sent it.
+    :param incarnation: its process.
+    :param key: its number there.
+    """
+
+    address: str = ""
+    incarnation: int = 0
+    key: int = 0
+
+
+@attrs.define(kw_only=True, eq=False)
+class Job:
+    """A job at the owner.
+
+    :param spec: the job.
+    :param queue: its queue.
+    :param arrived_ms: when the caller's request arrived.
+    :param deadline_ms: when the caller stops to wait.
+    :param objective_ms: when its latency objective ends.
+    :param chain_ms: estimated duration of its longest chain of steps.
+    :param tasks: its tasks, by step and index.
+    :param waiters: who waits for it.
+    :param is_resent: whether a former owner may have started it.
+    :param n_begun: starts that were sent and not rejected.
+    :param n_unfinished: tasks that are not done, by step.
+    :param is_ended: whether it has its outcome.
+    :param is_returned: whether its senders are to find another owner, once none of
+        its runs is left here.
+    """
+
+    spec: JobSpec = JobSpec()
+    queue: Queue = Queue()
+    arrived_ms: float = 0.0
+    deadline_ms: float = 0.0
+    objective_ms: float = 0.0
+    chain_ms: float = 0.0
+    tasks: list = attrs.field(factory=list)
+    waiters: list = attrs.field(factory=list)
+    is_resent: bool = False
+    n_begun: int = 0
+    n_unfinished: list = attrs.field(factory=list)
+    is_ended: bool = False
+    is_returned: bool = False
+
+    @property
+    def job_id(self):
+        """Id chosen by the caller."""
+        return self.spec.job_id
+
+    @property
+    def may_have_run(self):
+        """Whether a task of it may have begun."""
+        return self.is_resent or self.n_begun > 0
+
+    @property
+    def latest_start_ms(self):
+        """Latest start with which it is expected to meet its objective."""
+        return self.objective_ms - self.chain_ms
+
+    def list_waiting(self):
+        """Return the tasks that could start now."""
+        return [task for task in self.tasks if task.phase is TaskPhase.WAITING]
+
+    def finish_task(self, task):
+        """Record that a task is done; release the steps that waited for it.
+
+        :returns: whether the job is complete.
+        """
+        if task.phase is TaskPhase.DONE:
+            return not any(self.n_unfinished)
+        task.phase = TaskPhase.DONE
+        self.n_unfinished[task.step] -= 1
+        if self.n_unfinished[task.step] == 0:
+            self._release_steps()
+        return not any(self.n_unfinished)
+
+    def _release_steps(self):
+        for task in self.tasks:
+            is_ready = all(self.n_unfinished[i] == 0 for i in task.spec.after)
+            if task.phase is TaskPhase.BLOCKED and is_ready:
+                task.phase = TaskPhase.WAITING
+
+
+def build_job(message, now_ms):
+    """Build a job from a submission.
+
+    :param message: the :class:`SubmitJob`.
+    :param now_ms: the current time.
+    """
+    spec = message.job
+    queue = message.queue
+    chain_ms = spec.compute_chain_ms()
+    arrived_ms = now_ms - message.waited_ms
+    job = Job(
+        spec=spec,
+        queue=queue,
+        arrived_ms=arrived_ms,
+        deadline_ms=now_ms + message.left_ms,
+        objective_ms=arrived_ms + queue.stretch * chain_ms + queue.target_ms,
+        chain_ms=chain_ms,
+        is_resent=message.is_resent,
+        n_unfinished=[step.n_tasks for step in spec.steps],
+    )
+    for number, step in enumerate(spec.steps):
+        phase = TaskPhase.BLOCKED if step.after else TaskPhase.WAITING
+        for index in range(step.n_tasks):
+            name = spec.name_task(number, index)
+            job.tasks.append(
+                Task(name=name, step=number, spec=step, job=job, phase=phase)
+            )
+    return job
--- /dev/null
+++ b/buckthornshift/dispatch/_membership.py
@@ -0,0 +1,260 @@
+"""Which other instances live, from beats that each side confirms.
+
+An instance counts as lost by the age of the last own beat that it confirmed. So the
+sender knows for certain that the other side heard it at that time or later, in a
+silence of either direction.
+"""
+
+import attrs
+
+from ._actions import DialPeer, ForgetPeer, LogCode, SendPeer
+from ._events import InstancesFound, PeerLinkOpened, PeerReceived
+from ._internal import BeatDue, PeerLost
+from ._peer_messages import Beat, ConfigurationShared
+
+ADDRESSES_EVERY_BEATS = 10
+FORGET_AFTER_MS = 10_000.0
+SHARE_AGAIN_MS = 1_000.0
+
+
+@attrs.define(kw_only=True)
+class Peer:
+    """Another instance.
+
+    :param address: where it is reached.
+    :param incarnation: its process; 0 before it was heard.
+    :param beat: the last beat received.
+    :param heard_ms: when that came.
+    :param confirmed_ms: latest own beat that it confirmed, by when that was sent.
+    :param beaten_ms: when the last own beat was sent.
+    :param dialled_ms: when the connection was last asked for.
+    :param found_ms: when its address became known.
+    :param shared_ms: when the configuration was last given to it.
+    :param is_live: whether it is in contact.
+    """
+
+    address: str = ""
+    incarnation: int = 0
+    beat: Beat = Beat()
+    heard_ms: float | None = None
+    confirmed_ms: float | None = None
+    beaten_ms: float = -1e9
+    dialled_ms: float = -1e9
+    found_ms: float = 0.0
+    shared_ms: float = -1e9
+    is_live: bool = False
+
+    @property
+    def rank(self):
+        """Order in which instances are preferred as owner.
+
+        Among equals the youngest comes first: in a series of restarts it is the
+        least likely to be next.
+        """
+        return (self.beat.power, self.beat.born_ms, self.incarnation)
+
+
+class Membership:
+    """Send beats, judge who is in contact, and spread addresses.
+
+    :param context: the shared :class:`DispatchContext`.
+    """
+
+    def __init__(self, context=None):
+        self.context = context
+        self.by_address = {}
+        self.describe_claim = lambda: {}
+        self.is_owner = lambda: False
+        self._n_ticks = 0
+
+    def subscribe(self):
+        """Return handlers by message class."""
+        return {
+            BeatDue: self.on_beat_due,
+            PeerReceived: self.on_received,
+            PeerLinkOpened: self.on_link_opened,
+            InstancesFound: self.on_found,
+        }
+
+    def list_live(self):
+        """Return the instances in contact."""
+        return [peer for peer in self.by_address.values() if peer.is_live]
+
+    def is_live(self, address, incarnation=None):
+        """Return whether an instance is in contact, this one included."""
+        identity = self.context.identity
+        if address == identity.address:
+            return incarnation in (None, identity.incarnation)
+        peer = self.by_address.get(address)
+        if peer is None or not peer.is_live:
+            return False
+        return incarnation in (None, peer.incarnation)
+
+    def on_found(self, event):
+        """Dial instances that are not known yet."""
+        for address in event.addresses:
+            self._add(address)
+
+    def on_link_opened(self, event):
+        """Beat at once on a new connection, so that contact begins."""
+        peer = self.by_address.get(event.address)
+        if peer is not None:
+            self._beat(peer, has_addresses=True)
+
+    def on_received(self, event):
+        """Take note of the sender, and of its beat."""
+        peer = self._add(event.address)
+        if peer is None:
+            return
+        if event.incarnation != peer.incarnation:
+            self._take_incarnation(peer, event)
+        if isinstance(event.message, Beat):
+            self._read_beat(peer, event.message)
+
+    def on_beat_due(self, message):
+        """Beat to those that are due, and judge who is lost."""
+        context = self.context
+        self._n_ticks += 1
+        context.start_timer(context.settings.beat_ms, BeatDue())
+        has_addresses = self._n_ticks % ADDRESSES_EVERY_BEATS == 0
+        for peer in list(self.by_address.values()):
+            self._judge(peer)
+            self._redial_if_silent(peer)
+            interval_ms = self._choose_interval(peer) - context.settings.beat_ms / 2
+            if context.now_ms - peer.beaten_ms >= interval_ms:
+                self._beat(peer, has_addresses)
+
+    def beat_now(self):
+        """Beat to everyone at once, for news that others wait for."""
+        for peer in self.by_address.values():
+            self._beat(peer)
+
+    def _add(self, address):
+        context = self.context
+        if address == context.identity.address:
+            return None
+        peer = self.by_address.get(address)
+        if peer is None:
+            peer = Peer(address=address, found_ms=context.now_ms)
+            self.by_address[address] = peer
+            self._dial(peer)
+            context.log(LogCode.PEER_FOUND, address)
+        return peer
+
+    def _dial(self, peer):
+        peer.dialled_ms = self.context.now_ms
+        self.context.emit(DialPeer(address=peer.address))
+
+    def _take_incarnation(self, peer, event):
+        context = self.context
+        if peer.incarnation:
+            context.log(LogCode.PEER_RESTARTED, peer.address, former=peer.incarnation)
+            self._lose(peer)
+            self._dial(peer)
+        peer.incarnation = event.incarnation
+        peer.beat = Beat()
+        peer.confirmed_ms = None
+
+    def _read_beat(self, peer, beat):
+        context = self.context
+        if beat.sent_ms < peer.beat.sent_ms:
+            return
+        peer.beat = beat
+        peer.heard_ms = context.now_ms
+        if beat.echo_ms >= 0:
+            confirmed_ms = peer.confirmed_ms
+            is_newer = confirmed_ms is None or beat.echo_ms > confirmed_ms
+            if is_newer and beat.echo_ms <= context.now_ms:
+                peer.confirmed_ms = beat.echo_ms
+        for address in beat.addresses:
+            self._add(address)
+        self._share_configuration(peer)
+        self._judge(peer)
+
+    def _share_configuration(self, peer):
+        context = self.context
+        is_behind = peer.beat.config_version < context.configuration.version
+        if not is_behind or context.now_ms - peer.shared_ms < SHARE_AGAIN_MS:
+            return
+        peer.shared_ms = context.now_ms
+        message = ConfigurationShared(configuration=context.configuration)
+        context.emit(SendPeer(address=peer.address, message=message))
+
+    def _judge(self, peer):
+        context = self.context
+        if peer.confirmed_ms is None:
+            self._forget_if_never_heard(peer)
+            return
+        age_ms = context.now_ms - peer.confirmed_ms
+        is_live = age_ms <= self._choose_patience(peer)
+        if is_live and not peer.is_live:
+            peer.is_live = True
+            self._beat(peer)
+        elif peer.is_live and not is_live:
+            context.log(LogCode.PEER_LOST, peer.address, confirmed_age_ms=round(age_ms))
+            self._lose(peer)
+        elif age_ms > FORGET_AFTER_MS:
+            self._forget(peer)
+
+    def _lose(self, peer):
+        peer.is_live = False
+        self.context.post(PeerLost(address=peer.address, incarnation=peer.incarnation))
+
+    def _forget_if_never_heard(self, peer):
+        if self.context.now_ms - peer.found_ms > FORGET_AFTER_MS:
+            self._forget(peer)
+
+    def _forget(self, peer):
+        self.by_address.pop(peer.address, None)
+        self.context.emit(ForgetPeer(address=peer.address))
+
+    def _redial_if_silent(self, peer):
+        context = self.context
+        seen_ms = max(peer.dialled_ms, peer.confirmed_ms or peer.dialled_ms)
+        patience_ms = context.settings.redial_after_ms
+        if self._choose_interval(peer) > context.settings.beat_ms:
+            patience_ms += context.settings.idle_beat_ms
+        if context.now_ms - seen_ms > patience_ms:
+            self._dial(peer)
+
+    def _choose_interval(self, peer):
+        settings = self.context.settings
+        is_close = (
+            self.is_owner()
+            or peer.beat.claim_term
+            or not self._knows_owner()
+            or not peer.is_live
+        )
+        return settings.beat_ms if is_close else settings.idle_beat_ms
+
+    def _choose_patience(self, peer):
+        settings = self.context.settings
+        is_idle_pair = not peer.beat.claim_term and not self.describe_claim().get(
+            "claim_term", 0
+        )
+        extra_ms = settings.idle_beat_ms if is_idle_pair else 0.0
+        return settings.lost_after_ms + extra_ms
+
+    def _knows_owner(self):
+        return any(p.is_live and p.beat.claim_term for p in self.by_address.values())
+
+    def _beat(self, peer, has_addresses=False):
+        context = self.context
+        identity = context.identity
+        peer.beaten_ms = context.now_ms
+        addresses = ()
+        if has_addresses or not peer.is_live:
+            addresses = tuple(p.address for p in self.list_live())
+        beat = Beat(
+            sent_ms=context.now_ms,
+            echo_ms=peer.beat.sent_ms if peer.heard_ms is not None else -1.0,
+            born_ms=identity.born_ms,
+            power=identity.power,
+            name=identity.name,
+            zone=identity.zone,
+            config_version=context.configuration.version,
+            is_leaving=context.is_stopping,
+            addresses=addresses,
+            **self.describe_claim(),
+        )
+        context.emit(SendPeer(address=peer.address, message=beat))
--- /dev/null
+++ b/buckthornshift/dispatch/_owner_jobs.py
@@ -0,0 +1,262 @@
+"""Jobs that the owner has: submissions, duplicates, ends."""
+
+from ._actions import LogCode, SendPeer
+from ._events import PeerReceived
+from ._internal import (
+    ClaimEnded,
+    HousekeepingDue,
+    JobDeadline,
+    PeerLost,
+    ServersChanged,
+    SubmissionEnded,
+)
+from ._jobs import Waiter, build_job
+from ._peer_messages import DropJob, EndReason, JobEnded, Outcome, SubmitJob
+
+
+class OwnerJobs:
+    """Take submissions, and end each job once.
+
+    :param context: the shared :class:`DispatchContext`.
+    :param fleet: the :class:`Fleet`.
+    :param election: the :class:`Election`.
+    :param admission: the :class:`Admission`.
+    """
+
+    def __init__(self, context=None, fleet=None, election=None, admission=None):
+        self.context = context
+        self.fleet = fleet
+        self.election = election
+        self.admission = admission
+        self.runs = None
+        self.by_id = {}
+        self._ended_by_waiter = {}
+        self._deadline_timer_by_id = {}
+
+    def subscribe(self):
+        """Return handlers by message class."""
+        return {
+            PeerReceived: self.on_received,
+            PeerLost: self.on_peer_lost,
+            JobDeadline: self.on_deadline,
+            ClaimEnded: self.on_claim_ended,
+            HousekeepingDue: self.on_housekeeping,
+        }
+
+    def list_open(self):
+        """Return the jobs that have no outcome."""
+        return [job for job in self.by_id.values() if not job.is_ended]
+
+    def on_received(self, event):
+        """Take a submission, or the news that its caller has left."""
+        match event.message:
+            case SubmitJob():
+                waiter = Waiter(
+                    address=event.address,
+                    incarnation=event.incarnation,
+                    key=event.message.key,
+                )
+                self._submit(waiter, event.message)
+            case DropJob(key=key):
+                waiter = Waiter(
+                    address=event.address, incarnation=event.incarnation, key=key
+                )
+                self._drop_waiters(lambda w: w == waiter)
+
+    def on_peer_lost(self, message):
+        """Stop what nobody waits for any more."""
+        n_dropped = self._drop_waiters(
+            lambda w: (
+                (w.address, w.incarnation) == (message.address, message.incarnation)
+            )
+        )
+        if n_dropped:
+            self.context.log(LogCode.HOME_LOST, message.address, n_jobs=n_dropped)
+
+    def on_deadline(self, message):
+        """End a job whose caller stops to wait."""
+        job = self.by_id.get(message.job_id)
+        margin_ms = self.context.settings.answer_margin_ms
+        if job is None or job.is_ended:
+            return
+        if self.context.now_ms < job.deadline_ms - margin_ms - 1.0:
+            return
+        self.give_up(job, EndReason.DEADLINE)
+
+    def on_claim_ended(self, message):
+        """Give waiting jobs back; those with runs go on here."""
+        for job in self.list_open():
+            if not self.runs.count_open(job):
+                self.return_job(job)
+
+    def on_housekeeping(self, message):
+        """Forget outcomes that nobody asks for again."""
+        oldest_ms = self.context.now_ms - self.context.settings.ended_kept_ms
+        for waiter in list(self._ended_by_waiter):
+            if self._ended_by_waiter[waiter][0] > oldest_ms:
+                break
+            del self._ended_by_waiter[waiter]
+
+    def complete(self, job):
+        """End a job whose tasks are all done."""
+        self._end(job, JobEnded(outcome=Outcome.COMPLETED, may_have_run=True))
+
+    def fail(self, job, reason):
+        """End a job that can't be completed.
+
+        :param reason: the :class:`EndReason`.
+        """
+        ended = JobEnded(outcome=Outcome.FAILED, reason=reason, may_have_run=True)
+        self._end(job, ended)
+
+    def give_up(self, job, reason, retry_after_ms=0.0):
+        """End a job early; it is told as "not run" exactly if that is certain.
+
+        :param reason: the :class:`EndReason`.
+        :param retry_after_ms: when asking again can help.
+        """
+        outcome = Outcome.FAILED if job.may_have_run else Outcome.NOT_RUN
+        ended = JobEnded(
+            outcome=outcome,
+            reason=reason,
+            may_have_run=job.may_have_run,
+            retry_after_ms=retry_after_ms,
+        )
+        self._end(job, ended)
+
+    def return_job(self, job):
+        """Let the senders find another owner, once no run is left here."""
+        if job.is_ended and not job.is_returned:
+            return
+        job.is_ended = job.is_returned = True
+        if self.runs.count_open(job):
+            self.runs.stop_job(job)
+            return
+        ended = JobEnded(
+            outcome=Outcome.RETURNED,
+            reason=EndReason.NOT_OWNER,
+            may_have_run=job.may_have_run,
+        )
+        self._tell(job, ended)
+
+    def note_run_gone(self, job):
+        """Look whether a returned job can be given back now."""
+        is_left_over = not self.election.is_owner and not job.is_ended
+        if (job.is_returned or is_left_over) and not self.runs.count_open(job):
+            self.return_job(job)
+
+    def _submit(self, waiter, message):
+        context = self.context
+        if waiter in self._ended_by_waiter:
+            self._send(waiter, self._ended_by_waiter[waiter][1])
+            return
+        known = self.by_id.get(message.job.job_id)
+        if known is not None and not known.is_ended:
+            if waiter not in known.waiters:
+                known.waiters.append(waiter)
+            return
+        if not self.election.is_owner:
+            ended = JobEnded(
+                key=waiter.key, outcome=Outcome.RETURNED, reason=EndReason.NOT_OWNER
+            )
+            self._send(waiter, ended)
+            return
+        job = build_job(message, context.now_ms)
+        job.waiters.append(waiter)
+        refusal = self.admission.check(job, self.list_open())
+        if refusal is not None:
+            self._refuse(job, refusal)
+            return
+        self._accept(job)
+
+    def _accept(self, job):
+        context = self.context
+        self.by_id[job.job_id] = job
+        margin_ms = context.settings.answer_margin_ms
+        delay_ms = max(0.0, job.deadline_ms - context.now_ms - margin_ms)
+        self._deadline_timer_by_id[job.job_id] = context.start_timer(
+            delay_ms, JobDeadline(job_id=job.job_id)
+        )
+        context.log(
+            LogCode.JOB_QUEUED,
+            job.job_id,
+            latest_start_in_ms=round(job.latest_start_ms - context.now_ms, 1),
+            n_jobs=len(self.by_id),
+            is_resent=job.is_resent,
+        )
+        if job.is_resent:
+            self.runs.adopt_job(job)
+        context.post(ServersChanged())
+
+    def _refuse(self, job, refusal):
+        self.context.log(
+            LogCode.JOB_REFUSED,
+            job.job_id,
+            reason=refusal.reason,
+            detail=refusal.detail,
+            retry_after_ms=round(refusal.retry_after_ms),
+        )
+        ended = JobEnded(
+            outcome=Outcome.FAILED if job.may_have_run else Outcome.NOT_RUN,
+            reason=refusal.reason,
+            may_have_run=job.may_have_run,
+            retry_after_ms=refusal.retry_after_ms,
+        )
+        self._tell(job, ended)
+
+    def _end(self, job, ended):
+        if job.is_ended:
+            return
+        job.is_ended = True
+        self.context.log(
+            LogCode.JOB_ENDED,
+            job.job_id,
+            outcome=ended.outcome,
+            reason=ended.reason,
+            late_ms=round(self.context.now_ms - job.objective_ms, 1),
+        )
+        self.runs.stop_job(job)
+        self._tell(job, ended)
+
+    def _tell(self, job, ended):
+        context = self.context
+        if self.by_id.get(job.job_id) is job:
+            del self.by_id[job.job_id]
+        context.timers.cancel(self._deadline_timer_by_id.pop(job.job_id, None))
+        for waiter in job.waiters:
+            told = JobEnded(
+                key=waiter.key,
+                outcome=ended.outcome,
+                reason=ended.reason,
+                may_have_run=ended.may_have_run,
+                retry_after_ms=ended.retry_after_ms,
+            )
+            if ended.outcome is not Outcome.RETURNED:
+                self._ended_by_waiter[waiter] = (context.now_ms, told)
+            self._send(waiter, told)
+        job.waiters = []
+
+    def _send(self, waiter, ended):
+        context = self.context
+        if waiter.address == context.identity.address:
+            context.post(
+                SubmissionEnded(
+                    address=waiter.address,
+                    incarnation=waiter.incarnation,
+                    ended=ended,
+                )
+            )
+            return
+        context.emit(SendPeer(address=waiter.address, message=ended))
+
+    def _drop_waiters(self, is_dropped):
+        n_dropped = 0
+        for job in list(self.by_id.values()):
+            kept = [waiter for waiter in job.waiters if not is_dropped(waiter)]
+            if len(kept) == len(job.waiters):
+                continue
+            n_dropped += 1
+            job.waiters = kept
+            if not kept and not job.is_ended:
+                self.give_up(job, EndReason.DEADLINE)
+        return n_dropped
--- /dev/null
+++ b/buckthornshift/dispatch/_peer_messages.py
@@ -0,0 +1,143 @@
+"""Messages between instances."""
+
+import enum
+
+import attrs
+
+from ._declarations import Configuration, JobSpec, Queue, ServerRecord
+
+
+@attrs.frozen(kw_only=True)
+class Beat:
+    """Sign of life; what an instance tells every other one again and again.
+
+    :param sent_ms: the sender's clock when it was sent.
+    :param echo_ms: latest ``sent_ms`` that the sender got from the addressee.
+    :param born_ms: see :class:`DispatchIdentity`.
+    :param power: see :class:`DispatchIdentity`.
+    :param name: see :class:`DispatchIdentity`.
+    :param zone: see :class:`DispatchIdentity`.
+    :param config_version: version of the configuration in force.
+    :param claim_term: term under which the sender owns the servers; 0 if it doesn't.
+    :param is_claim_complete: whether every listed server has accepted that term.
+    :param is_eligible: whether it could own the servers.
+    :param is_leaving: whether it is stopping.
+    :param held_ids: servers that a former owner has not released yet.
+    :param addresses: addresses of the instances that it knows; sent now and then.
+    """
+
+    sent_ms: float = 0.0
+    echo_ms: float = -1.0
+    born_ms: int = 0
+    power: float = 1.0
+    name: str = ""
+    zone: str = ""
+    config_version: int = 0
+    claim_term: int = 0
+    is_claim_complete: bool = False
+    is_eligible: bool = False
+    is_leaving: bool = False
+    held_ids: tuple[str, ...] = ()
+    addresses: tuple[str, ...] = ()
+
+
+@attrs.frozen(kw_only=True)
+class SubmitJob:
+    """The instance that a caller reached passes a job to the owner.
+
+    :param key: number of the submission at its sender.
+    :param job: the job.
+    :param queue: its queue as the sender knows it.
+    :param waited_ms: time since the caller's request arrived.
+    :param left_ms: time until the caller's deadline.
+    :param is_resent: whether a former owner may have started it.
+    """
+
+    key: int = 0
+    job: JobSpec = JobSpec()
+    queue: Queue = Queue()
+    waited_ms: float = 0.0
+    left_ms: float = 0.0
+    is_resent: bool = False
+
+
+class Outcome(enum.StrEnum):
+    """How a submission ended."""
+
+    COMPLETED = "completed"
+    FAILED = "failed"
+    NOT_RUN = "not_run"
+    RETURNED = "returned"
+
+
+class EndReason(enum.StrEnum):
+    """Why a submission did not complete."""
+
+    NONE = ""
+    ATTEMPTS_USED_UP = "attempts_used_up"
+    DEADLINE = "deadline"
+    OVERLOADED = "overloaded"
+    INFEASIBLE = "infeasible"
+    UNSUPPORTED = "unsupported"
+    NO_OWNER = "no_owner"
+    NOT_OWNER = "not_owner"
+    NO_CONFIGURATION = "no_configuration"
+    STOPPING = "stopping"
+
+
+@attrs.frozen(kw_only=True)
+class JobEnded:
+    """The owner tells how a submission ended.
+
+    :param key: from :class:`SubmitJob`.
+    :param outcome: ``returned`` if the sender is to find another owner.
+    :param reason: why it did not complete.
+    :param may_have_run: whether a task of it may have begun.
+    :param retry_after_ms: when asking again can help; 0 if unknown.
+    """
+
+    key: int = 0
+    outcome: Outcome = Outcome.COMPLETED
+    reason: EndReason = EndReason.NONE
+    may_have_run: bool = False
+    retry_after_ms: float = 0.0
+
+
+@attrs.frozen(kw_only=True)
+class DropJob:
+    """The caller of a submission has left.
+
+    :param key: from :class:`SubmitJob`.
+    """
+
+    key: int = 0
+
+
+@attrs.frozen(kw_only=True)
+class ServersShared:
+    """The owner shares the list of backend servers.
+
+    :param servers: the whole list.
+    """
+
+    servers: tuple[ServerRecord, ...] = ()
+
+
+@attrs.frozen(kw_only=True)
+class ConfigurationShared:
+    """An instance gives its configuration to one that has an older one.
+
+    :param configuration: the configuration.
+    """
+
+    configuration: Configuration = Configuration()
+
+
+PEER_MESSAGES = (
+    Beat,
+    SubmitJob,
+    JobEnded,
+    DropJob,
+    ServersShared,
+    ConfigurationShared,
+)
--- a/buckthornshift/links/_http_connection.py
+++ b/buckthornshift/links/_http_connection.py
@@ -4,19 +4,11 @@
 
 import h11
 
-from ..contracts import BuckthornshiftError
+from ..contracts import BuckthornshiftError, ConnectionLostError, NotSentError
 
 READ_BYTES = 65_536
 
 
-class NotSentError(BuckthornshiftError):
-    """The request certainly did not reach the other end."""
-
-
-class ConnectionLostError(BuckthornshiftError):
-    """The connection ended after bytes were sent: the outcome is open."""
-
-
 class HttpStatusError(BuckthornshiftError):
     """The other end answered with an error status.
 
--- /dev/null
+++ b/buckthornshift/platform/__init__.py
@@ -0,0 +1,69 @@
+"""The platform's names, formats and calls. It decides nothing."""
+
+from ._callers import (
+    DEADLINE_HEADER,
+    encode_error,
+    encode_outcome,
+    encode_state,
+    encode_waiting,
+)
+from ._documents import (
+    JobSubmission,
+    UnreadableError,
+    decode_configuration,
+    decode_job,
+    decode_server,
+)
+from ._servers import (
+    HOLD_PATH,
+    INCARNATION_HEADER,
+    START_PATH,
+    STOP_PATH,
+    decode_answer,
+    encode_hold,
+    encode_start,
+    encode_stop,
+)
+from ._store import (
+    CONFIGURATION_KEY,
+    CONFIGURATION_TOPIC,
+    INSTANCES_TOPIC,
+    SERVERS_TOPIC,
+    HistoryGoneError,
+    KeyedBatch,
+    KeyedRecord,
+    StoreClient,
+    StoreError,
+    StoreTrouble,
+)
+
+__all__ = [
+    "CONFIGURATION_KEY",
+    "CONFIGURATION_TOPIC",
+    "DEADLINE_HEADER",
+    "HOLD_PATH",
+    "INCARNATION_HEADER",
+    "INSTANCES_TOPIC",
+    "SERVERS_TOPIC",
+    "START_PATH",
+    "STOP_PATH",
+    "HistoryGoneError",
+    "JobSubmission",
+    "KeyedBatch",
+    "KeyedRecord",
+    "StoreClient",
+    "StoreError",
+    "StoreTrouble",
+    "UnreadableError",
+    "decode_answer",
+    "decode_configuration",
+    "decode_job",
+    "decode_server",
+    "encode_error",
+    "encode_hold",
+    "encode_outcome",
+    "encode_start",
+    "encode_state",
+    "encode_stop",
+    "encode_waiting",
+]
--- /dev/null
+++ b/buckthornshift/platform/_documents.py
@@ -0,0 +1,243 @@
+"""Configuration, server entries and jobs: the platform's JSON into our types."""
+
+import attrs
+import msgspec
+
+from ..contracts import BuckthornshiftError
+from ..dispatch import (
+    Configuration,
+    HttpLimits,
+    JobSpec,
+    Queue,
+    Resources,
+    ServerRecord,
+    StepSpec,
+)
+
+
+class UnreadableError(BuckthornshiftError):
+    """Bytes that do not hold what was expected."""
+
+
+class _Advice(msgspec.Struct, rename="pascal"):
+    decide_ms: float = 0.0
+
+
+class _Route(msgspec.Struct, rename="pascal"):
+    """A queue. ``StretchMs``-like names are the platform's; see :class:`Queue`."""
+
+    name: str
+    host: str
+    path_prefix: str
+    service: str
+    timeout_ms: float = 60_000.0
+    # Constant part of the latency objective, not of a job's duration.
+    target_completion_ms: float = 0.0
+    priority: int = 0
+    max_attempts: int = 1
+    stretch: float = 1.0
+    advice: _Advice | None = None
+
+
+class _Limits(msgspec.Struct, rename="pascal", frozen=True):
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 262_144
+    header_timeout_ms: float = 3_000.0
+    idle_timeout_ms: float = 15_000.0
+
+
+class _Config(msgspec.Struct, rename="pascal"):
+    version: int
+    routes: list[_Route] = []
+    limits: _Limits = _Limits()
+
+
+class _Capacity(msgspec.Struct, rename="pascal"):
+    # Thousandths of a core.
+    cpu: int
+    mem_mb: int
+    gpu: int = 0
+
+
+class _Server(msgspec.Struct, rename="pascal"):
+    service: str
+    address: str
+    zone: str
+    state: str
+    capacity: _Capacity
+    labels: list[str] = []
+
+
+class _Step(msgspec.Struct, rename="pascal"):
+    task_count: int = 1
+    cpu: int = 0
+    mem_mb: int = 0
+    gpu: int = 0
+    estimate_ms: float = 0.0
+    after: list[int] = []
+    requires: str = ""
+    data_rack: str = ""
+    # Most tasks of the step on one runner, not a pair of steps to keep apart.
+    anti_affinity: int = 0
+    gang: bool = False
+    long_running: bool = False
+    fills: bool = False
+    may_miss: int = 0
+
+
+class _Job(msgspec.Struct, rename="pascal"):
+    spec: str = ""
+    steps: list[_Step] = []
+    # The response to the submission is the job's end; nothing is stored.
+    best_effort: bool = False
+    long_running: bool = False
+    repeats: int = 0
+
+
+_CONFIG = msgspec.json.Decoder(_Config)
+_SERVER = msgspec.json.Decoder(_Server)
+_JOB = msgspec.json.Decoder(_Job)
+_STATES = ("ready", "draining")
+JOB_ID_CHARS = 16
+MAX_PAYLOAD_BYTES = 4_000
+
+
+@attrs.frozen(kw_only=True)
+class JobSubmission:
+    """A decoded submission.
+
+    :param job: the job.
+    :param unsupported: names of what it asks for that isn't built yet.
+    """
+
+    job: JobSpec = JobSpec()
+    unsupported: tuple[str, ...] = ()
+
+
+def decode_configuration(body):
+    """Decode a configuration.
+
+    :param body: JSON bytes.
+    :returns: a :class:`Configuration`.
+    :raises UnreadableError: if it isn't one.
+    """
+    config = _decode(_CONFIG, body)
+    return Configuration(
+        version=config.version,
+        queues=tuple(_make_queue(route) for route in config.routes),
+        limits=HttpLimits(
+            max_head_bytes=config.limits.max_header_bytes,
+            max_body_bytes=config.limits.max_body_bytes,
+            head_timeout_ms=config.limits.header_timeout_ms,
+            idle_timeout_ms=config.limits.idle_timeout_ms,
+        ),
+    )
+
+
+def decode_server(server_id, body):
+    """Decode a backend server's entry.
+
+    :param server_id: key of the entry.
+    :param body: JSON bytes.
+    :returns: a :class:`ServerRecord`.
+    :raises UnreadableError: if it names no server that can be used.
+    """
+    server = _decode(_SERVER, body)
+    host, _, port = server.address.rpartition(":")
+    if server.state not in _STATES or not host or not port.isdigit():
+        raise UnreadableError(f"state {server.state!r}, address {server.address!r}")
+    return ServerRecord(
+        server_id=server_id,
+        service=server.service,
+        host=host,
+        port=int(port),
+        zone=server.zone,
+        is_draining=server.state == "draining",
+        capacity=Resources(
+            cpu=server.capacity.cpu,
+            memory_mb=server.capacity.mem_mb,
+            gpu=server.capacity.gpu,
+        ),
+        labels=tuple(server.labels),
+    )
+
+
+def decode_job(job_id, body):
+    """Decode a submission.
+
+    :param job_id: id from the path.
+    :param body: JSON bytes.
+    :returns: a :class:`JobSubmission`.
+    :raises UnreadableError: if it isn't one.
+    """
+    is_hex = len(job_id) == JOB_ID_CHARS and all(
+        char in "0123456789abcdefABCDEF" for char in job_id
+    )
+    if not is_hex:
+        raise UnreadableError(f"id {job_id[:40]!r}: expected 16 hexadecimal digits")
+    job = _decode(_JOB, body)
+    _check_job(job)
+    spec = JobSpec(
+        job_id=job_id,
+        payload=job.spec,
+        steps=tuple(_make_step(step) for step in job.steps),
+    )
+    return JobSubmission(job=spec, unsupported=_list_unsupported(job))
+
+
+def _decode(decoder, body):
+    try:
+        return decoder.decode(body)
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
+        raise UnreadableError(str(error)) from error
+
+
+def _make_queue(route):
+    return Queue(
+        name=route.name,
+        host=route.host,
+        path_prefix=route.path_prefix,
+        service=route.service,
+        priority=route.priority,
+        max_attempts=route.max_attempts,
+        stretch=route.stretch,
+        target_ms=route.target_completion_ms,
+        timeout_ms=route.timeout_ms,
+        needs_advice=route.advice is not None,
+    )
+
+
+def _make_step(step):
+    return StepSpec(
+        n_tasks=step.task_count,
+        need=Resources(cpu=step.cpu, memory_mb=step.mem_mb, gpu=step.gpu),
+        estimate_ms=step.estimate_ms,
+        after=tuple(step.after),
+        required_label=step.requires,
+        data_rack=step.data_rack,
+        max_per_server=step.anti_affinity,
+    )
+
+
+def _check_job(job):
+    if len(job.spec.encode()) > MAX_PAYLOAD_BYTES:
+        raise UnreadableError(f"payload: expected at most {MAX_PAYLOAD_BYTES} bytes")
+    if not job.steps:
+        raise UnreadableError("steps: expected at least one")
+    for number, step in enumerate(job.steps):
+        if step.task_count < 1 or min(step.cpu, step.mem_mb, step.gpu) < 0:
+            raise UnreadableError(f"step {number}: expected tasks and amounts >= 0")
+        if any(not 0 <= earlier < number for earlier in step.after):
+            raise UnreadableError(f"step {number}: expected earlier steps in After")
+
+
+def _list_unsupported(job):
+    asked = {
+        "jobs that are stored": not job.best_effort,
+        "lasting tasks": job.long_running or any(s.long_running for s in job.steps),
+        "occurrences": job.repeats > 0,
+        "gangs": any(step.gang for step in job.steps),
+        "tasks that fill": any(step.fills for step in job.steps),
+        "bounded absence": any(step.may_miss for step in job.steps),
+    }
+    return tuple(name for name, is_asked in asked.items() if is_asked)
--- /dev/null
+++ b/buckthornshift/serving/_http_client.py
@@ -0,0 +1,160 @@
+"""HTTP/1.1 calls over kept connections; a request is never sent twice by itself."""
+
+import asyncio
+import socket
+
+import httptools
+
+from ..contracts import ConnectionLostError, NotSentError
+
+# A dead connection is noticed by the timeout of each call; this ends its socket.
+TCP_USER_TIMEOUT_MS = 2_000
+
+
+class HttpPool:
+    """Kept connections to one address, each used by one request at a time.
+
+    :param host: IP address.
+    :param port: TCP port.
+    :param headers: (name, value) pairs sent with every request.
+    :param max_open: most connections at a time; further calls wait.
+    :param connect_timeout_s: longest time to connect, in seconds.
+    """
+
+    def __init__(
+        self, host="127.0.0.1", port=0, headers=(), max_open=8, connect_timeout_s=0.25
+    ):
+        self.host = host
+        self.port = port
+        self.headers = headers
+        self.max_open = max_open
+        self.connect_timeout_s = connect_timeout_s
+        self._idle = []
+        self._slots = asyncio.Semaphore(max_open)
+
+    async def call(self, method, target, body=b"", timeout_s=1.0, headers=()):
+        """Send one request and return the status and body of its response.
+
+        :param method: HTTP method.
+        :param target: path with query.
+        :param body: request body.
+        :param timeout_s: longest time for the response, in seconds.
+        :param headers: further (name, value) pairs.
+        :raises NotSentError: if nothing was sent.
+        :raises ConnectionLostError: if no whole response came in time.
+        """
+        async with self._slots:
+            connection = await self._take()
+            try:
+                result = await connection.exchange(
+                    self._render(method, target, body, headers), timeout_s
+                )
+            except BaseException:
+                connection.abort()
+                raise
+            if connection.is_reusable:
+                self._idle.append(connection)
+            else:
+                connection.abort()
+            return result
+
+    def close(self):
+        """Close the idle connections."""
+        for connection in self._idle:
+            connection.abort()
+        self._idle.clear()
+
+    async def _take(self):
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.is_reusable:
+                return connection
+            connection.abort()
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(self.connect_timeout_s):
+                _, connection = await loop.create_connection(
+                    _ClientConnection, self.host, self.port
+                )
+        except (OSError, TimeoutError) as error:
+            raise NotSentError(f"{self.host}:{self.port}: {error!r}") from error
+        return connection
+
+    def _render(self, method, target, body, headers):
+        lines = [
+            f"{method} {target} HTTP/1.1",
+            f"Host: {self.host}:{self.port}",
+            f"Content-Length: {len(body)}",
+        ]
+        if body:
+            lines.append("Content-Type: application/json")
+        lines += [f"{name}: {value}" for name, value in (*self.headers, *headers)]
+        return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + body
+
+
+class _ClientConnection(asyncio.Protocol):
+    def __init__(self):
+        self._transport = None
+        self._parser = None
+        self._future = None
+        self._body = bytearray()
+        self._is_open = False
+        self._is_kept = True
+
+    @property
+    def is_reusable(self):
+        return self._is_open and self._is_kept and self._future is None
+
+    def connection_made(self, transport):
+        self._transport = transport
+        self._is_open = True
+        sock = transport.get_extra_info("socket")
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS
+        )
+
+    def connection_lost(self, error):
+        self._is_open = False
+        self._fail(f"closed by the other end: {error!r}")
+
+    async def exchange(self, data, timeout_s):
+        loop = asyncio.get_running_loop()
+        self._parser = httptools.HttpResponseParser(self)
+        self._body = bytearray()
+        self._future = loop.create_future()
+        timer = loop.call_later(timeout_s, self._fail, "no answer in time")
+        self._transport.write(data)
+        try:
+            return await self._future
+        finally:
+            timer.cancel()
+            self._future = None
+
+    def data_received(self, data):
+        if self._future is None:
+            # A response that nobody waits for: the connection is out of step.
+            self.abort()
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            self._fail(f"not HTTP: {error}")
+            self.abort()
+
+    def on_body(self, body):
+        self._body += body
+
+    def on_message_complete(self):
+        self._is_kept = self._parser.should_keep_alive()
+        if self._future is not None and not self._future.done():
+            status = self._parser.get_status_code()
+            self._future.set_result((status, bytes(self._body)))
+
+    def abort(self):
+        self._is_open = False
+        self._transport.abort()
+
+    def _fail(self, detail):
+        if self._future is not None and not self._future.done():
+            self._future.set_exception(ConnectionLostError(detail))
--- /dev/null
+++ b/buckthornshift/serving/_http_server.py
@@ -0,0 +1,278 @@
+"""A small HTTP/1.1 server for short requests, on httptools.
+
+Requests of one connection are handled one after another. What is too large, too slow
+or not HTTP gets an answer that says so and ends only its own connection.
+"""
+
+import asyncio
+import http
+import socket
+
+import attrs
+import httptools
+
+MAX_PIPELINED = 32
+READ_PAUSE_BYTES = 1_048_576
+
+
+@attrs.frozen(kw_only=True)
+class ServerLimits:
+    """Limits on requests.
+
+    :param max_head_bytes: longest request head.
+    :param max_body_bytes: longest request body.
+    :param head_timeout_s: time for a request to arrive whole, in seconds.
+    :param idle_timeout_s: time after which an idle connection is closed, in seconds.
+    """
+
+    max_head_bytes: int = 16_384
+    max_body_bytes: int = 262_144
+    head_timeout_s: float = 3.0
+    idle_timeout_s: float = 15.0
+
+
+@attrs.frozen(kw_only=True)
+class Request:
+    """One request.
+
+    :param method: HTTP method.
+    :param path: path without the query.
+    :param header_by_name: headers; names in lower case.
+    :param body: its body.
+    """
+
+    method: str = ""
+    path: str = ""
+    header_by_name: dict = attrs.field(factory=dict)
+    body: bytes = b""
+
+
+class Exchange:
+    """One request that waits for its response.
+
+    :param connection: its connection.
+    :param request: the :class:`Request`.
+    :param is_last: whether its response ends the connection.
+    """
+
+    def __init__(self, connection=None, request=None, is_last=False):
+        self.connection = connection
+        self.request = request
+        self.is_last = is_last
+        self.on_gone = None
+        self._is_answered = False
+
+    def respond(self, status, body=b"", headers=()):
+        """Send the response, once.
+
+        :param status: HTTP status code.
+        :param body: body of the response.
+        :param headers: further (name, value) pairs.
+        """
+        if self._is_answered:
+            return
+        self._is_answered = True
+        self.connection.finish(self, status, body, headers)
+
+    def notify_gone(self):
+        """Tell the handler that the caller left before its response."""
+        if not self._is_answered and self.on_gone is not None:
+            self._is_answered = True
+            self.on_gone()
+
+
+class HttpServer:
+    """Listen on an address and pass each whole request to a handler.
+
+    :param handler: called with an :class:`Exchange`.
+    :param limits: returns the :class:`ServerLimits` in force.
+    """
+
+    def __init__(self, handler=None, limits=ServerLimits):
+        self.handler = handler
+        self.limits = limits
+        self.is_closing = False
+        self.connections = set()
+        self._server = None
+
+    async def start(self, host, port):
+        """Listen; return the port.
+
+        :param host: IP address.
+        :param port: TCP port; 0 for any.
+        """
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: _Connection(server=self), host, port, backlog=512
+        )
+        return self._server.sockets[0].getsockname()[1]
+
+    def begin_close(self):
+        """Let connections end after their next response."""
+        self.is_closing = True
+
+    def close(self):
+        """Stop listening and close every connection."""
+        if self._server is not None:
+            self._server.close()
+        for connection in list(self.connections):
+            connection.close()
+
+
+class _Connection(asyncio.Protocol):
+    def __init__(self, server=None):
+        self.server = server
+        self._limits = server.limits()
+        self._transport = None
+        self._parser = httptools.HttpRequestParser(self)
+        self._exchanges = []
+        self._is_ending = False
+        self._timer = None
+        self._reset()
+
+    def connection_made(self, transport):
+        self._transport = transport
+        sock = transport.get_extra_info("socket")
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.server.connections.add(self)
+        self._set_timer(self._limits.head_timeout_s)
+
+    def connection_lost(self, error):
+        self.server.connections.discard(self)
+        self._cancel_timer()
+        for exchange in self._exchanges:
+            exchange.notify_gone()
+        self._exchanges.clear()
+
+    def data_received(self, data):
+        if self._is_ending:
+            return
+        if not self._exchanges and not self._n_head_bytes:
+            self._set_timer(self._limits.head_timeout_s)
+        if not self._is_head_done:
+            self._n_head_bytes += len(data)
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._reject(http.HTTPStatus.NOT_IMPLEMENTED)
+        except httptools.HttpParserError:
+            self._reject(http.HTTPStatus.BAD_REQUEST)
+        is_long = self._n_head_bytes > self._limits.max_head_bytes
+        if not self._is_head_done and is_long:
+            self._reject(http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
+
+    def on_message_begin(self):
+        self._reset()
+
+    def on_url(self, url):
+        self._url += url
+        self._count_field(len(url))
+
+    def on_header(self, name, value):
+        self._count_field(len(name) + len(value))
+        self._header_by_name[name.decode("latin-1").lower()] = value.decode("latin-1")
+
+    def on_headers_complete(self):
+        self._is_head_done = True
+        length = self._header_by_name.get("content-length", "0")
+        if length.isdigit() and int(length) > self._limits.max_body_bytes:
+            self._reject(http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+
+    def on_body(self, body):
+        self._body += body
+        if len(self._body) > self._limits.max_body_bytes:
+            self._reject(http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+
+    def on_message_complete(self):
+        if self._is_ending:
+            return
+        request = Request(
+            method=self._parser.get_method().decode("latin-1"),
+            path=self._url.partition(b"?")[0].decode("latin-1"),
+            header_by_name=self._header_by_name,
+            body=bytes(self._body),
+        )
+        is_last = not self._parser.should_keep_alive()
+        exchange = Exchange(connection=self, request=request, is_last=is_last)
+        self._exchanges.append(exchange)
+        self._n_head_bytes = 0
+        self._is_head_done = False
+        if len(self._exchanges) > MAX_PIPELINED:
+            self._reject(http.HTTPStatus.TOO_MANY_REQUESTS)
+        elif len(self._exchanges) == 1:
+            self._cancel_timer()
+            self.server.handler(exchange)
+
+    def finish(self, exchange, status, body, headers):
+        """Write a response, and pass the next request on."""
+        if exchange not in self._exchanges:
+            return
+        self._exchanges.remove(exchange)
+        is_last = self.server.is_closing or exchange.is_last
+        self._write(status, body, headers, is_last)
+        if is_last:
+            self._end()
+        elif self._exchanges:
+            self.server.handler(self._exchanges[0])
+        else:
+            self._set_timer(self._limits.idle_timeout_s)
+
+    def close(self):
+        """Close the connection."""
+        if self._transport is not None:
+            self._transport.close()
+
+    def _reset(self):
+        self._url = b""
+        self._body = bytearray()
+        self._header_by_name = {}
+        self._n_head_bytes = 0
+        self._n_field_bytes = 0
+        self._is_head_done = False
+
+    def _count_field(self, n_bytes):
+        self._n_field_bytes += n_bytes
+        if self._n_field_bytes > self._limits.max_head_bytes:
+            self._reject(http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
+
+    def _reject(self, status):
+        if self._is_ending:
+            return
+        for exchange in self._exchanges:
+            exchange.notify_gone()
+        self._exchanges.clear()
+        self._write(status, status.phrase.encode(), (), True)
+        self._end()
+
+    def _end(self):
+        self._is_ending = True
+        self._cancel_timer()
+        self._transport.close()
+
+    def _write(self, status, body, headers, is_last):
+        lines = [
+            f"HTTP/1.1 {int(status)} {http.HTTPStatus(status).phrase}",
+            f"Content-Length: {len(body)}",
+            "Content-Type: application/json",
+        ]
+        lines += [f"{name}: {value}" for name, value in headers]
+        if is_last:
+            lines.append("Connection: close")
+        head = "\r\n".join(lines) + "\r\n\r\n"
+        self._transport.write(head.encode("latin-1") + body)
+
+    def _set_timer(self, delay_s):
+        self._cancel_timer()
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(delay_s, self._time_out)
+
+    def _cancel_timer(self):
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _time_out(self):
+        if self._n_head_bytes and not self._exchanges:
+            self._reject(http.HTTPStatus.REQUEST_TIMEOUT)
+        elif not self._exchanges:
+            self.close()
--- /dev/null
+++ b/buckthornshift/serving/_metrics.py
@@ -0,0 +1,102 @@
+"""Metrics of a dispatching instance in the format of Prometheus."""
+
+import attrs
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    generate_latest,
+)
+
+from ..dispatch import LogCode
+
+# Spread around the latency objectives of sub-second tasks, in seconds.
+LATENCY_BUCKETS_S = (0.02, 0.05, 0.1, 0.15, 0.25, 0.5, 1.0, 1.5, 2.5, 5.0)
+
+_GAUGES = {
+    "open_requests": "Requests of callers without an answer.",
+    "open_jobs": "Jobs that this instance has as owner.",
+    "open_runs": "Runs that hold room on servers.",
+    "owned_servers": "Backend servers that this instance owns.",
+    "live_instances": "Instances in contact, this one aside.",
+    "configuration_version": "Version of the configuration in force.",
+    "claim_term": "Term under which this instance owns the servers; 0 if it doesn't.",
+    "ready": "Whether callers should be sent here (1) or not (0).",
+    "log_lines_dropped": "Lines that the log could not take.",
+}
+
+
+class ServingMetrics:
+    """Collect the metrics of one instance in a registry of its own."""
+
+    def __init__(self):
+        self.registry = CollectorRegistry()
+        self._gauges_by_name = {
+            name: Gauge(f"buckthornshift_{name}", text, registry=self.registry)
+            for name, text in _GAUGES.items()
+        }
+        self._counts = Counter(
+            "buckthornshift_count",
+            "Counts since the start of the process, by kind.",
+            ["kind"],
+            registry=self.registry,
+        )
+        self._events = Counter(
+            "buckthornshift_events",
+            "Events logged, by name.",
+            ["event"],
+            registry=self.registry,
+        )
+        self._latency = Histogram(
+            "buckthornshift_answer_seconds",
+            "Time from a request's arrival to its answer, by outcome.",
+            ["outcome"],
+            buckets=LATENCY_BUCKETS_S,
+            registry=self.registry,
+        )
+        self._last_by_kind = {}
+        self._n_events_by_code = {}
+        self._told_by_code = {}
+
+    def note_event(self, line):
+        """Count a logged event; take the latency of an answer.
+
+        :param line: a :class:`~buckthornshift.dispatch.LogLine`.
+        """
+        self._n_events_by_code[line.code] = self._n_events_by_code.get(line.code, 0) + 1
+        if line.code is LogCode.JOB_ANSWERED:
+            outcome = line.fields["outcome"]
+            self._latency.labels(outcome).observe(line.fields["after_ms"] / 1000.0)
+
+    def render(self, core, n_lines_dropped):
+        """Return the current metrics as text.
+
+        :param core: the :class:`~buckthornshift.dispatch.DispatchCore`.
+        :param n_lines_dropped: lines that the log dropped.
+        """
+        for name, value in _read_gauges(core).items():
+            self._gauges_by_name[name].set(value)
+        self._gauges_by_name["log_lines_dropped"].set(n_lines_dropped)
+        for kind, value in attrs.asdict(core.context.counters).items():
+            counter = self._counts.labels(kind.removeprefix("n_"))
+            counter.inc(value - self._last_by_kind.get(kind, 0))
+            self._last_by_kind[kind] = value
+        for code, value in self._n_events_by_code.items():
+            counter = self._events.labels(code.name.lower())
+            counter.inc(value - self._told_by_code.get(code, 0))
+            self._told_by_code[code] = value
+        return generate_latest(self.registry)
+
+
+def _read_gauges(core):
+    return {
+        "open_requests": len(core.homes.by_key),
+        "open_jobs": len(core.jobs.by_id),
+        "open_runs": core.runs.n_open,
+        "owned_servers": core.fleet.count_owned(),
+        "live_instances": len(core.membership.list_live()),
+        "configuration_version": core.context.configuration.version,
+        "claim_term": core.election.term,
+        "ready": int(core.is_ready()),
+    }
--- a/tests/core/test_core_is_pure.py
+++ b/tests/core/test_core_is_pure.py
@@ -38,7 +38,7 @@
 
 
 def find_forbidden(source):
-    return list_imports(source) - ALLOWED - {"..contracts"}
+    return list_imports(source) - ALLOWED - {"..contracts", "..timers"}
 
 
 @pytest.mark.parametrize("path", MODULES, ids=lambda path: path.name)
