FIX A look for room costs what it finds; a late home no longer says "not run"

Waiting tasks stand in a table of their own now, what did not fit once in a look is not tried again, free room is kept and not computed.

--- a/buckthornshift/dispatch/_admission.py
+++ b/buckthornshift/dispatch/_admission.py
@@ -68,7 +68,7 @@
             return 0.0
         key = rank_job(job, self.context.now_ms)
         work = sum(
-            sum(t.spec.estimate_ms * t.spec.need.cpu for t in other.list_waiting())
+            other.waiting_work
             for other in open_jobs
             if other.queue.service == job.queue.service
             and rank_job(other, self.context.now_ms) <= key
--- a/buckthornshift/dispatch/_fleet.py
+++ b/buckthornshift/dispatch/_fleet.py
@@ -26,7 +26,7 @@
     :param token: fencing token of this instance's orders.
     :param refused_term: term of the last token that the server refused.
     :param run_by_name: runs by name of the task.
-    :param used: what the runs of known size hold.
+    :param free: what is free, runs of unknown size aside.
     :param n_unknown: runs of unknown size, found at a takeover.
     :param last_acked: number of the last end taken note of.
     :param told_acked: the number that the server was last told.
@@ -47,7 +47,7 @@
     token: int = 0
     refused_term: int = 0
     run_by_name: dict = attrs.field(factory=dict)
-    used: Resources = Resources()
+    free: Resources = Resources()
     n_unknown: int = 0
     last_acked: int = 0
     told_acked: int = 0
@@ -67,23 +67,24 @@
         """Id of this life of the server."""
         return self.record.server_id
 
-    @property
-    def free(self):
-        """What is free, runs of unknown size aside."""
-        return self.record.capacity.minus(self.used)
-
     @property
     def is_idle(self):
         """Whether nothing runs on it."""
         return not self.run_by_name
 
+    def take_record(self, record):
+        """Take over what the platform lists now; its capacity may have changed."""
+        used = self.record.capacity.minus(self.free)
+        self.record = record
+        self.free = record.capacity.minus(used)
+
     def add_run(self, run):
         """Reserve a run's room."""
         self.run_by_name[run.name] = run
         if run.need is None:
             self.n_unknown += 1
         else:
-            self.used = self.used.plus(run.need)
+            self.free = self.free.minus(run.need)
 
     def remove_run(self, run):
         """Free a run's room."""
@@ -93,7 +94,7 @@
         if run.need is None:
             self.n_unknown -= 1
         else:
-            self.used = self.used.minus(run.need)
+            self.free = self.free.plus(run.need)
 
     def learn_need(self, run, need):
         """Take over the size of a run that was not known."""
@@ -133,12 +134,16 @@
         for server_id, record in listed_by_id.items():
             server = self.by_id.get(server_id)
             if server is None:
-                server = Server(record=record, answered_ms=self.context.now_ms)
+                server = Server(
+                    record=record,
+                    free=record.capacity,
+                    answered_ms=self.context.now_ms,
+                )
                 self.by_id[server_id] = server
                 added.append(server)
                 continue
             if server.record != record or server.unlisted_ms is not None:
-                server.record = record
+                server.take_record(record)
                 server.unlisted_ms = None
                 changed.append(server)
         for server in self.by_id.values():
--- a/buckthornshift/dispatch/_homes.py
+++ b/buckthornshift/dispatch/_homes.py
@@ -115,16 +115,17 @@
         home_job = self.by_key.get(message.key)
         if home_job is None:
             return
+        may_have_run = home_job.may_have_run
         if home_job.owner is not None:
             self._send(home_job.owner[0], DropJob(key=home_job.key))
-        outcome = Outcome.FAILED if home_job.may_have_run else Outcome.NOT_RUN
+            may_have_run = True
         self._answer(
             home_job,
             JobEnded(
                 key=home_job.key,
-                outcome=outcome,
+                outcome=Outcome.FAILED if may_have_run else Outcome.NOT_RUN,
                 reason=EndReason.DEADLINE,
-                may_have_run=home_job.may_have_run,
+                may_have_run=may_have_run,
             ),
         )
 
--- a/buckthornshift/dispatch/_jobs.py
+++ b/buckthornshift/dispatch/_jobs.py
@@ -105,6 +105,7 @@
     :param objective_ms: when its latency objective ends.
     :param chain_ms: estimated duration of its longest chain of steps.
     :param tasks: its tasks, by step and index.
+    :param waiting_by_name: those that wait for a server.
     :param waiters: who waits for it.
     :param is_resent: whether a former owner may have started it.
     :param n_begun: starts that were sent and not rejected.
@@ -121,6 +122,7 @@
     objective_ms: float = 0.0
     chain_ms: float = 0.0
     tasks: list = attrs.field(factory=list)
+    waiting_by_name: dict = attrs.field(factory=dict)
     waiters: list = attrs.field(factory=list)
     is_resent: bool = False
     n_begun: int = 0
@@ -143,9 +145,25 @@
         """Latest start with which it is expected to meet its objective."""
         return self.objective_ms - self.chain_ms
 
-    def list_waiting(self):
-        """Return the tasks that could start now."""
-        return [task for task in self.tasks if task.phase is TaskPhase.WAITING]
+    @property
+    def waiting_work(self):
+        """Estimated work of the waiting tasks, in ms times thousandths of a core."""
+        return sum(
+            task.spec.estimate_ms * task.spec.need.cpu
+            for task in self.waiting_by_name.values()
+        )
+
+    def set_phase(self, task, phase):
+        """Move a task to another phase.
+
+        :param task: a task of this job.
+        :param phase: the :class:`TaskPhase`.
+        """
+        task.phase = phase
+        if phase is TaskPhase.WAITING:
+            self.waiting_by_name[task.name] = task
+        else:
+            self.waiting_by_name.pop(task.name, None)
 
     def finish_task(self, task):
         """Record that a task is done; release the steps that waited for it.
@@ -154,7 +172,7 @@
         """
         if task.phase is TaskPhase.DONE:
             return not any(self.n_unfinished)
-        task.phase = TaskPhase.DONE
+        self.set_phase(task, TaskPhase.DONE)
         self.n_unfinished[task.step] -= 1
         if self.n_unfinished[task.step] == 0:
             self._release_steps()
@@ -164,7 +182,7 @@
         for task in self.tasks:
             is_ready = all(self.n_unfinished[i] == 0 for i in task.spec.after)
             if task.phase is TaskPhase.BLOCKED and is_ready:
-                task.phase = TaskPhase.WAITING
+                self.set_phase(task, TaskPhase.WAITING)
 
 
 def build_job(message, now_ms):
@@ -191,7 +209,7 @@
         phase = TaskPhase.BLOCKED if step.after else TaskPhase.WAITING
         for index in range(step.n_tasks):
             name = spec.name_task(number, index)
-            job.tasks.append(
-                Task(name=name, step=number, spec=step, job=job, phase=phase)
-            )
+            task = Task(name=name, step=number, spec=step, job=job)
+            job.tasks.append(task)
+            job.set_phase(task, phase)
     return job
--- a/buckthornshift/dispatch/_placing.py
+++ b/buckthornshift/dispatch/_placing.py
@@ -1,9 +1,11 @@
 """Which waiting task starts on which server."""
 
 from ._admission import rank_job
-from ._jobs import TaskPhase
 from ._peer_messages import EndReason
 
+# Part of its estimate that a job needs at least; most take longer.
+SHORTEST_RUN_FRACTION = 0.5
+
 
 class Placing:
     """Start waiting tasks while there is room.
@@ -29,14 +31,15 @@
 
     def pump(self):
         """Start what can start now, the most urgent first."""
-        if not self.is_needed:
-            return
         self.is_needed = False
         if not self.election.is_owner:
             return
         now_ms = self.context.now_ms
-        jobs = [job for job in self.jobs.list_open() if self._has_waiting(job)]
+        jobs = [job for job in self.jobs.list_open() if job.waiting_by_name]
+        if not jobs:
+            return
         jobs.sort(key=lambda job: rank_job(job, now_ms))
+        rooms_by_service = {}
         for job in jobs:
             if self._is_hopeless(job):
                 self.jobs.give_up(
@@ -45,43 +48,34 @@
                     self.context.settings.min_retry_after_ms,
                 )
                 continue
-            self._start_tasks(job)
-
-    def _has_waiting(self, job):
-        return any(task.phase is TaskPhase.WAITING for task in job.tasks)
+            service = job.queue.service
+            room = rooms_by_service.get(service)
+            if room is None:
+                room = _Room(list(self.fleet.iter_open(service)))
+                rooms_by_service[service] = room
+            self._start_tasks(job, room)
 
     def _is_hopeless(self, job):
-        is_begun = self.runs.count_open(job) or job.may_have_run
-        return not is_begun and (self.context.now_ms + job.chain_ms > job.deadline_ms)
+        if job.may_have_run:
+            return False
+        shortest_ms = SHORTEST_RUN_FRACTION * job.chain_ms
+        return self.context.now_ms + shortest_ms > job.deadline_ms
 
-    def _start_tasks(self, job):
-        servers = list(self.fleet.iter_open(job.queue.service))
-        for task in job.list_waiting():
-            if self.runs.is_open(task.name):
+    def _start_tasks(self, job, room):
+        for task in list(job.waiting_by_name.values()):
+            if not room.may_fit(task.spec.need) or self.runs.is_open(task.name):
                 continue
-            server = self._choose(task, servers)
+            server = self._choose(task, room)
             if server is not None:
                 self.runs.start(task, server)
 
-    def _choose(self, task, servers):
-        fitting = [s for s in servers if self._may_run(task, s)]
-        return min(fitting, key=lambda s: self._rank(task, s), default=None)
-
-    def _may_run(self, task, server):
-        spec = task.spec
-        if not server.free.covers(spec.need) or server.clock_offset_ms is None:
-            return False
-        if spec.required_label and spec.required_label not in server.record.labels:
-            return False
-        if not spec.max_per_server:
-            return True
-        n_here = sum(
-            run.task is not None
-            and run.task.job is task.job
-            and run.task.step == task.step
-            for run in server.run_by_name.values()
-        )
-        return n_here < spec.max_per_server
+    def _choose(self, task, room):
+        fitting = [s for s in room.servers if s.free.covers(task.spec.need)]
+        if not fitting:
+            room.note_full(task.spec.need)
+            return None
+        allowed = [s for s in fitting if _is_allowed(task, s)]
+        return min(allowed, key=lambda s: self._rank(task, s), default=None)
 
     def _rank(self, task, server):
         spec = task.spec
@@ -94,3 +88,37 @@
             server.free.cpu - spec.need.cpu,
             server.slowness,
         )
+
+
+class _Room:
+    """Open servers of a service during one look, and what they can't hold any more.
+
+    Room only shrinks during a look, so what did not fit once is not tried again.
+    """
+
+    def __init__(self, servers):
+        self.servers = [s for s in servers if s.clock_offset_ms is not None]
+        self._full_cpu = float("inf")
+
+    def may_fit(self, need):
+        """Return whether it is worth to look for room for a need."""
+        return bool(self.servers) and need.cpu < self._full_cpu
+
+    def note_full(self, need):
+        """Remember that no server holds a need."""
+        largest = max((s.free.cpu for s in self.servers), default=0)
+        if need.cpu > largest:
+            self._full_cpu = min(self._full_cpu, need.cpu)
+
+
+def _is_allowed(task, server):
+    spec = task.spec
+    if spec.required_label and spec.required_label not in server.record.labels:
+        return False
+    if not spec.max_per_server:
+        return True
+    n_here = sum(
+        run.task is not None and run.task.job is task.job and run.task.step == task.step
+        for run in server.run_by_name.values()
+    )
+    return n_here < spec.max_per_server
--- a/buckthornshift/dispatch/_runs.py
+++ b/buckthornshift/dispatch/_runs.py
@@ -60,7 +60,7 @@
     def start(self, task, server):
         """Order a server to start a task."""
         context = self.context
-        task.phase = TaskPhase.PLACED
+        task.job.set_phase(task, TaskPhase.PLACED)
         task.last_run += 1
         run = Run(
             task=task,
@@ -225,7 +225,7 @@
             if run.task is None:
                 continue
             if kind is None:
-                run.task.phase = TaskPhase.WAITING
+                run.task.job.set_phase(run.task, TaskPhase.WAITING)
                 self.jobs.return_job(run.task.job)
             else:
                 self._finish(server, run, kind)
@@ -257,7 +257,7 @@
         if not is_free or run.task is not None or run.phase is not RunPhase.RUNNING:
             return
         run.task = task
-        task.phase = TaskPhase.PLACED
+        task.job.set_phase(task, TaskPhase.PLACED)
         task.last_run = run.number
         server.learn_need(run, task.spec.need)
         self.context.counters.n_adopted += 1
@@ -355,7 +355,7 @@
 
     def _put_back(self, run):
         if run.task is not None and run.task.phase is TaskPhase.PLACED:
-            run.task.phase = TaskPhase.WAITING
+            run.task.job.set_phase(run.task, TaskPhase.WAITING)
             self.jobs.note_run_gone(run.task.job)
 
     def _learn(self, server, run):
