--- a/buckthornshift/dispatch/_homes.py
+++ b/buckthornshift/dispatch/_homes.py
@@ -141,9 +141,13 @@
             self._route(home_job)
 
     def on_link_opened(self, event):
-        """Repeat what may have been lost with the former connection."""
+        """Repeat what may have been lost with the former connection.
+
+        The owner may have started it, lost this instance and forgotten the job.
+        """
         for home_job in self.by_key.values():
             if home_job.owner is not None and home_job.owner[0] == event.address:
+                home_job.may_have_run = True
                 self._submit(home_job)
 
     def on_received(self, event):
--- a/buckthornshift/dispatch/_membership.py
+++ b/buckthornshift/dispatch/_membership.py
@@ -212,6 +212,9 @@
         context = self.context
         seen_ms = max(peer.dialled_ms, peer.confirmed_ms or peer.dialled_ms)
         patience_ms = context.settings.redial_after_ms
+        if peer.confirmed_ms is None:
+            # It may not have listened yet when it was dialled first.
+            patience_ms = 2.0 * context.settings.beat_ms
         if self._choose_interval(peer) > context.settings.beat_ms:
             patience_ms += context.settings.idle_beat_ms
         if context.now_ms - seen_ms > patience_ms:
--- /dev/null
+++ b/buckthornshift/proving/fleet/_callers.py
@@ -0,0 +1,199 @@
+"""Callers of a run: jobs of the users' kinds, resubmissions, callers that leave."""
+
+import attrs
+
+from ...dispatch import (
+    CallerLeft,
+    EndReason,
+    JobArrived,
+    JobSpec,
+    Outcome,
+    Resources,
+    StepSpec,
+)
+
+RESEND_MS = 1_300.0
+POISON_SHARE = 0.01
+# Faults last up to 4 s, and a job of before them up to another 4 s.
+LAST_BATCH_MS = 8_000.0
+LAST_TIMEOUT_MS = 3_000.0
+
+
+@attrs.frozen(kw_only=True)
+class JobKind:
+    """A kind of job as the users send it.
+
+    :param weight: how often it comes.
+    :param run_ms: mean run time of a task.
+    :param width: mean number of tasks.
+    """
+
+    weight: float = 1.0
+    run_ms: float = 100.0
+    width: int = 2
+
+
+JOB_KINDS = (
+    JobKind(weight=0.24, run_ms=60.0, width=8),
+    JobKind(weight=0.06, run_ms=900.0, width=4),
+    JobKind(weight=0.70, run_ms=200.0, width=2),
+)
+
+# Small enough that any server that works can do them in time.
+LAST_STEPS = (
+    StepSpec(n_tasks=1, need=Resources(cpu=1_000, memory_mb=64), estimate_ms=50.0),
+)
+
+
+@attrs.frozen(kw_only=True)
+class Request:
+    """A request that waits for its answer.
+
+    :param sent: job, queue, time-out, whether of the last batch, number of the try.
+    """
+
+    sent: tuple = ()
+
+
+class FleetCallers:
+    """Submit the jobs of a run and follow them to an answer.
+
+    :param world: the :class:`FleetWorld`.
+    """
+
+    def __init__(self, world=None):
+        self.world = world
+        self.leaving_share = 0.0
+        self.rate_factor = 1.0
+        self._next_ref = 0
+        self._n_jobs = 0
+        self._run_by_task = {}
+        world.on_answer = self._take_answer
+        world.on_lost_request = self._lose_connection
+        world.plan_run = self._plan_run
+
+    def start(self):
+        """Schedule the submissions, and a last batch after the faults."""
+        world = self.world
+        world.clock.schedule(1_500.0, self._submit_next)
+        last_ms = world.plan.busy_ms + LAST_BATCH_MS
+        for index in range(12):
+            world.clock.schedule(last_ms + 20.0 * index, self._submit_new, True)
+
+    def _submit_next(self):
+        world = self.world
+        if world.clock.now_ms > world.plan.busy_ms:
+            return
+        self._submit_new(False)
+        rate_per_ms = world.plan.jobs_per_s * self.rate_factor / 1_000.0
+        delay_ms = world.random_state.expovariate(rate_per_ms)
+        world.clock.schedule(delay_ms, self._submit_next)
+
+    def _submit_new(self, is_last):
+        random_state = self.world.random_state
+        kind = random_state.choices(JOB_KINDS, [k.weight for k in JOB_KINDS])[0]
+        queue = random_state.choice(self.world.configuration.queues)
+        self._n_jobs += 1
+        job_id = f"{self._n_jobs:016x}"
+        mean_ms = kind.run_ms * random_state.uniform(0.6, 1.6)
+        job = JobSpec(
+            job_id=job_id,
+            payload=f"text of {job_id}",
+            steps=self._draw_steps(kind, mean_ms) if not is_last else LAST_STEPS,
+        )
+        chain_ms = job.compute_chain_ms()
+        timeout_ms = LAST_TIMEOUT_MS if is_last else 300.0 + 3.0 * chain_ms
+        self._send(job, queue, timeout_ms, is_last, 1)
+
+    def _draw_steps(self, kind, mean_ms):
+        random_state = self.world.random_state
+        label = random_state.choice(("", "", "", "a"))
+        n_tasks = max(1, int(random_state.gauss(kind.width, 0.4 * kind.width)))
+        need = Resources(cpu=random_state.randint(5_000, 9_000), memory_mb=64)
+        first = StepSpec(
+            n_tasks=n_tasks, need=need, estimate_ms=mean_ms, required_label=label
+        )
+        if random_state.random() < 0.9:
+            return (first,)
+        second = StepSpec(n_tasks=1, need=need, estimate_ms=mean_ms, after=(0,))
+        return (first, second)
+
+    def _plan_run(self, task):
+        """Return how long a task runs and whether it fails, the same each time."""
+        if task not in self._run_by_task:
+            random_state = self.world.random_state
+            step = self.world.oracle._find_step(task)
+            duration_ms = step.estimate_ms * random_state.uniform(0.6, 1.4)
+            is_poison = random_state.random() < POISON_SHARE
+            self._run_by_task[task] = (duration_ms, is_poison)
+        return self._run_by_task[task]
+
+    def _send(self, job, queue, timeout_ms, is_last, n_try):
+        world = self.world
+        node = self._pick_node()
+        if node is None:
+            world.clock.schedule(
+                200.0, self._send, job, queue, timeout_ms, is_last, n_try
+            )
+            return
+        world.clock.schedule(
+            world.plan.client_ms,
+            self._arrive,
+            node,
+            node.key,
+            (job, queue, timeout_ms, is_last, n_try),
+        )
+
+    def _arrive(self, node, key, sent):
+        world = self.world
+        job, queue, timeout_ms, is_last, _ = sent
+        if node.core is None or node.key != key:
+            self._send(*sent)
+            return
+        self._next_ref += 1
+        ref = self._next_ref
+        world.oracle.note_request(job, queue, is_last)
+        node.callers[ref] = Request(sent=sent)
+        event = JobArrived(caller_ref=ref, job=job, queue=queue, timeout_ms=timeout_ms)
+        world.deliver(node, key, event)
+        if not is_last and world.random_state.random() < self.leaving_share:
+            delay_ms = world.random_state.uniform(1.0, 0.5 * timeout_ms)
+            world.clock.schedule(delay_ms, self._leave, node, key, ref, job)
+
+    def _leave(self, node, key, ref, job):
+        if node.core is None or node.key != key or ref not in node.callers:
+            return
+        node.callers.pop(ref)
+        self.world.oracle.note_lost_request(job)
+        self.world.deliver(node, key, CallerLeft(caller_ref=ref))
+
+    def _lose_connection(self, request):
+        self.world.oracle.note_lost_request(request.sent[0])
+        self._resend(request)
+
+    def _take_answer(self, node, action):
+        request = node.callers.pop(action.caller_ref, None)
+        if request is None:
+            return
+        self.world.oracle.note_answer(request.sent[0], action)
+        is_open = action.outcome is Outcome.FAILED and action.reason not in (
+            EndReason.ATTEMPTS_USED_UP,
+            EndReason.DEADLINE,
+        )
+        is_last = request.sent[3]
+        if is_open or (is_last and action.outcome is Outcome.NOT_RUN):
+            self._resend(request)
+
+    def _resend(self, request):
+        job, queue, timeout_ms, is_last, n_try = request.sent
+        if n_try < 4:
+            self.world.clock.schedule(
+                RESEND_MS, self._send, job, queue, timeout_ms, is_last, n_try + 1
+            )
+
+    def _pick_node(self):
+        up = [node for node in self.world.nodes if node.core is not None]
+        ready = [node for node in up if node.core.is_ready()]
+        if self.world.random_state.random() < 0.1:
+            ready = up
+        return self.world.random_state.choice(ready or up) if up else None
--- /dev/null
+++ b/buckthornshift/proving/fleet/_plan.py
@@ -0,0 +1,122 @@
+"""What one randomised run of dispatching instances consists of."""
+
+import enum
+
+import attrs
+
+
+class FleetFault(enum.StrEnum):
+    """Faults that a run can contain."""
+
+    NODE_DEATH = "node_death"
+    NODE_FREEZE = "node_freeze"
+    NODE_SLOW = "node_slow"
+    NODE_STOP = "node_stop"
+    NODE_CUT = "node_cut"
+    ALL_DIE = "all_die"
+    ROLLING_STOP = "rolling_stop"
+    OWNER_DEATH = "owner_death"
+    OWNER_FREEZE = "owner_freeze"
+    ZONE_CUT = "zone_cut"
+    ONE_WAY_CUT = "one_way_cut"
+    SILENT_LINKS = "silent_links"
+    STORE_AWAY = "store_away"
+    STORE_CUT = "store_cut"
+    SERVER_DEATH = "server_death"
+    SERVER_DRAIN = "server_drain"
+    SERVER_ADDED = "server_added"
+    SERVER_SLOW = "server_slow"
+    SERVER_FAILS = "server_fails"
+    SERVER_HANGS = "server_hangs"
+    SERVER_CUT = "server_cut"
+    ORDERS_LATE = "orders_late"
+    ANSWERS_LOST = "answers_lost"
+    CALLERS_LEAVE = "callers_leave"
+    BURST = "burst"
+    CONFIG_CHANGE = "config_change"
+    CLOCK_STEP = "clock_step"
+
+
+@attrs.frozen(kw_only=True)
+class PlannedFault:
+    """One fault of a run.
+
+    :param kind: the kind.
+    :param start_ms: when it begins.
+    :param length_ms: how long it lasts.
+    :param target: index of what it strikes, taken modulo the number of candidates.
+    """
+
+    kind: FleetFault = FleetFault.NODE_DEATH
+    start_ms: float = 0.0
+    length_ms: float = 0.0
+    target: int = 0
+
+
+@attrs.frozen(kw_only=True)
+class FleetPlan:
+    """Size, load and faults of a run.
+
+    :param seed: seed of everything random in it.
+    :param n_zones: availability zones.
+    :param n_nodes: dispatching instances.
+    :param n_servers: backend servers.
+    :param jobs_per_s: jobs submitted a second.
+    :param busy_ms: time over which jobs and faults are spread.
+    :param settle_ms: time at the end without faults; a last batch comes in it.
+    :param faults: the faults.
+    :param near_ms: one-way delay inside a zone.
+    :param zone_ms: one-way delay between zones.
+    :param client_ms: one-way delay between callers and instances.
+    """
+
+    seed: int = 0
+    n_zones: int = 3
+    n_nodes: int = 5
+    n_servers: int = 9
+    jobs_per_s: float = 12.0
+    busy_ms: float = 8_000.0
+    settle_ms: float = 12_000.0
+    faults: tuple[PlannedFault, ...] = ()
+    near_ms: float = 0.1
+    zone_ms: float = 1.4
+    client_ms: float = 3.0
+
+
+START_MS = 2_000.0
+MAX_FAULTS = 7
+MAX_FAULT_MS = 4_000.0
+
+
+def draw_fleet_plan(random_state, seed, kinds=None, n_faults=None):
+    """Draw a run.
+
+    :param random_state: a :class:`random.Random`.
+    :param seed: the seed, kept in the plan.
+    :param kinds: fault kinds to draw from; ``None`` for all.
+    :param n_faults: number of faults; ``None`` to draw it.
+    :returns: a :class:`FleetPlan`.
+    """
+    kinds = list(FleetFault) if kinds is None else list(kinds)
+    if n_faults is None:
+        n_faults = random_state.randint(0, MAX_FAULTS)
+    busy_ms = FleetPlan().busy_ms
+    faults = [
+        PlannedFault(
+            kind=random_state.choice(kinds),
+            start_ms=random_state.uniform(START_MS, busy_ms),
+            length_ms=random_state.uniform(50.0, MAX_FAULT_MS),
+            target=random_state.randrange(1_000),
+        )
+        for _ in range(n_faults if kinds else 0)
+    ]
+    n_zones = random_state.randint(1, 4)
+    return FleetPlan(
+        seed=seed,
+        n_zones=n_zones,
+        n_nodes=random_state.randint(max(2, n_zones), 7),
+        n_servers=random_state.randint(max(3, n_zones), 12),
+        jobs_per_s=random_state.choice((4.0, 12.0, 30.0)),
+        zone_ms=random_state.choice((0.5, 1.4, 6.0)),
+        faults=tuple(sorted(faults, key=lambda fault: fault.start_ms)),
+    )
--- /dev/null
+++ b/buckthornshift/proving/fleet/_runner.py
@@ -0,0 +1,85 @@
+"""Run seeds of dispatching instances: each seed decides everything in its run."""
+
+import random
+
+import attrs
+
+from ._callers import FleetCallers
+from ._faults import FleetFaultInjector
+from ._oracle import FleetCounts, FleetRule, FleetRuleError
+from ._plan import draw_fleet_plan
+from ._world import FleetWorld
+
+CHECK_INTERVAL_MS = 100.0
+
+
+@attrs.frozen(kw_only=True)
+class FleetResult:
+    """Outcome of one run.
+
+    :param seed: its seed.
+    :param violation: the rule that broke, or ``None``.
+    :param detail: what was seen.
+    :param counts: the :class:`FleetCounts`.
+    :param fault_kinds: names of its faults.
+    """
+
+    seed: int = 0
+    violation: FleetRule | None = None
+    detail: str = ""
+    counts: FleetCounts = FleetCounts()
+    fault_kinds: tuple[str, ...] = ()
+
+
+def run_fleet_seed(seed, kinds=None, n_faults=None, settings=None, on_log=None):
+    """Run one seed and return its :class:`FleetResult`.
+
+    :param seed: the seed.
+    :param kinds: fault kinds to draw from; ``None`` for all.
+    :param n_faults: number of faults; ``None`` to draw it.
+    :param settings: the :class:`~buckthornshift.dispatch.DispatchSettings`.
+    :param on_log: called with node and log line.
+    """
+    plan = draw_fleet_plan(random.Random(seed), seed, kinds, n_faults)
+    return run_fleet_plan(plan, settings, on_log)
+
+
+def run_fleet_plan(plan, settings=None, on_log=None):
+    """Run a plan and return its :class:`FleetResult`.
+
+    :param plan: the :class:`FleetPlan`.
+    :param settings: the :class:`~buckthornshift.dispatch.DispatchSettings`.
+    :param on_log: called with node and log line.
+    """
+    world = FleetWorld(plan=plan, settings=settings)
+    world.on_log = on_log
+    violation = None
+    detail = ""
+    try:
+        _run_world(world)
+    except FleetRuleError as error:
+        violation = error.rule
+        detail = f"at {world.clock.now_ms:.1f} ms: {error}"
+    return FleetResult(
+        seed=plan.seed,
+        violation=violation,
+        detail=detail,
+        counts=world.oracle.counts,
+        fault_kinds=tuple(fault.kind.value for fault in plan.faults),
+    )
+
+
+def _run_world(world):
+    plan = world.plan
+    callers = FleetCallers(world=world)
+    world.start()
+    callers.start()
+    FleetFaultInjector(world=world, callers=callers).start()
+    end_ms = plan.busy_ms + plan.settle_ms
+    while world.clock.now_ms < end_ms:
+        world.clock.run_until(world.clock.now_ms + CHECK_INTERVAL_MS)
+        for node in world.nodes:
+            if node.core is not None:
+                version = node.core.context.configuration.version
+                world.oracle.note_version(node.key, version)
+    world.oracle.check_end()
--- /dev/null
+++ b/buckthornshift/proving/fleet/_world.py
@@ -0,0 +1,395 @@
+"""Dispatching instances, servers and a store under a virtual clock."""
+
+import random
+
+import attrs
+
+from ...dispatch import (
+    AnswerCaller,
+    Configuration,
+    ConfigurationRead,
+    DialPeer,
+    DispatchCore,
+    DispatchIdentity,
+    Exit,
+    FollowServers,
+    HoldServer,
+    InstancesFound,
+    Queue,
+    Resources,
+    SendPeer,
+    ServerRecord,
+    ServersRead,
+    StartRun,
+    StopRequested,
+    StopRun,
+    TimeAdvanced,
+)
+from ...standins import TaskServerModel
+from .._clock import VirtualClock
+from ._network import FleetNetwork
+from ._oracle import FleetOracle
+
+LIST_POLL_MS = 300.0
+INCARNATION_BITS = 48
+STORE_MS = 4.0
+RESTART_MS = 400.0
+DRAINED_EXIT_MS = 3_000.0
+SERVICES = ("cash", "cash", "cash", "sweep")
+KINDS = ("a", "a", "b")
+
+
+@attrs.define(kw_only=True, eq=False)
+class Node:
+    """A dispatching instance of a run.
+
+    :param name: its name, and its address.
+    :param zone: availability zone.
+    :param core: the core, or ``None`` while it is down.
+    :param incarnation: number of its process, random like a real one.
+    :param is_frozen: whether it stands still.
+    :param held: events that came while it stood still.
+    :param is_stopping: whether it was asked to stop.
+    :param slow_ms: delay of each event on a slow machine.
+    :param is_following: whether it follows the list of servers.
+    :param wake_ms: when its next timer is due.
+    :param callers: open requests by reference.
+    """
+
+    name: str = ""
+    zone: str = ""
+    core: DispatchCore | None = None
+    incarnation: int = 0
+    is_frozen: bool = False
+    held: list = attrs.field(factory=list)
+    is_stopping: bool = False
+    slow_ms: float = 0.0
+    is_following: bool = False
+    wake_ms: float | None = None
+    callers: dict = attrs.field(factory=dict)
+
+    @property
+    def key(self):
+        """Address and process."""
+        return (self.name, self.incarnation)
+
+
+@attrs.define(kw_only=True, eq=False)
+class ServerNode:
+    """A backend server of a run.
+
+    :param name: its id.
+    :param zone: availability zone.
+    :param model: the model, or ``None`` once it is down.
+    :param record: its entry.
+    :param is_listed: whether the store has the entry.
+    :param waiting: renewals that wait for an end.
+    :param wake_ms: when something ends next.
+    """
+
+    name: str = ""
+    zone: str = ""
+    model: TaskServerModel | None = None
+    record: ServerRecord = ServerRecord()
+    is_listed: bool = True
+    waiting: list = attrs.field(factory=list)
+    wake_ms: float | None = None
+
+
+class FleetWorld:
+    """A run: instances, servers, store, and what happens to them.
+
+    :param plan: the :class:`FleetPlan`.
+    :param settings: the :class:`~buckthornshift.dispatch.DispatchSettings`.
+    """
+
+    def __init__(self, plan=None, settings=None):
+        self.plan = plan
+        self.settings = settings
+        self.clock = VirtualClock()
+        self.random_state = random.Random(plan.seed)
+        self.network = FleetNetwork(world=self)
+        self.oracle = FleetOracle(world=self)
+        self.nodes = [
+            Node(name=f"n{i}:1", zone=self._name_zone(i)) for i in range(plan.n_nodes)
+        ]
+        self.servers_by_id = {}
+        self.configuration = self._make_configuration(1)
+        self.is_store_away = False
+        self.store_cut_nodes = set()
+        self.clock_step_by_node = {}
+        self.on_answer = None
+        self.on_lost_request = None
+        self.on_log = None
+        self.plan_run = None
+
+    def start(self):
+        """Start every server and instance."""
+        for index in range(self.plan.n_servers):
+            self.add_server(self._name_zone(index), index)
+        for node in self.nodes:
+            self.start_node(node)
+
+    def add_server(self, zone, index):
+        """Start a server and list it."""
+        kind = KINDS[index % len(KINDS)]
+        name = f"s{len(self.servers_by_id)}"
+        size = 1.5 if kind == "b" else 1.0
+        capacity = Resources(cpu=int(16_000 * size), memory_mb=32_768)
+        record = ServerRecord(
+            server_id=name,
+            service=SERVICES[index % len(SERVICES)],
+            host="10.0.0.1",
+            port=index + 1,
+            zone=zone,
+            capacity=capacity,
+            labels=(kind, f"r-{index // 2}"),
+        )
+        model = TaskServerModel(
+            server_id=name,
+            capacity=capacity,
+            clock_rate=self.random_state.choice((1.0, 0.99, 0.98)),
+            clock_start_ms=self.random_state.uniform(0.0, 1e6),
+            plan_run=lambda task: self.plan_run(task),
+            observer=self.oracle,
+        )
+        server = ServerNode(name=name, zone=zone, model=model, record=record)
+        self.servers_by_id[name] = server
+        return server
+
+    def kill_server(self, server):
+        """End a server without warning; its entry vanishes after a while."""
+        if server.model is None:
+            return
+        server.model.advance(self.clock.now_ms)
+        server.model.end_all()
+        server.model = None
+        self.network.serve_waiting(server)
+        self.clock.schedule(3_000.0, self._unlist, server)
+
+    def drain_server(self, server):
+        """Let a server announce that it leaves, and then leave."""
+        if server.model is None or server.record.is_draining:
+            return
+        server.record = attrs.evolve(server.record, is_draining=True)
+        self.clock.schedule(DRAINED_EXIT_MS, self._leave, server)
+
+    def start_node(self, node):
+        """Start a process of an instance."""
+        if node.core is not None:
+            return
+        node.incarnation = self.random_state.getrandbits(INCARNATION_BITS)
+        node.is_frozen = node.is_stopping = node.is_following = False
+        node.held, node.callers, node.wake_ms, node.slow_ms = [], {}, None, 0.0
+        identity = DispatchIdentity(
+            address=node.name,
+            incarnation=node.incarnation,
+            name=node.name,
+            zone=node.zone,
+            born_ms=int(self._read_wall(node)),
+        )
+        node.core = DispatchCore(
+            identity=identity,
+            settings=self.settings,
+            random_state=random.Random(self.random_state.random()),
+        )
+        actions = node.core.start(self.clock.now_ms, self._read_wall(node))
+        self._perform_all(node, actions)
+        seeds = tuple(other.name for other in self.nodes[:3])
+        self.deliver(node, node.key, InstancesFound(addresses=seeds))
+        self._poll_store(node, node.key)
+
+    def kill_node(self, node, restart_ms=RESTART_MS):
+        """End a process without warning and start it again later."""
+        if node.core is None:
+            return
+        self._end_node(node)
+        self.clock.schedule(restart_ms, self.start_node, node)
+
+    def stop_node(self, node):
+        """Ask a process to stop gracefully; it starts again afterwards."""
+        if node.core is not None and not node.is_stopping:
+            node.is_stopping = True
+            self.deliver(node, node.key, StopRequested())
+
+    def freeze_node(self, node, length_ms):
+        """Let a process stand still for a time."""
+        if node.core is None or node.is_frozen:
+            return
+        node.is_frozen = True
+        self.clock.schedule(length_ms, self._thaw, node, node.key)
+
+    def deliver(self, node, key, event):
+        """Hand an event to a process, or to none if it no longer exists."""
+        if node.core is None or node.key != key:
+            return
+        if node.is_frozen:
+            node.held.append(event)
+            return
+        if node.slow_ms and not isinstance(event, TimeAdvanced):
+            self.clock.schedule(node.slow_ms, self._handle, node, key, event)
+            return
+        self._handle(node, key, event)
+
+    def find_node(self, address):
+        """Return the instance at an address, or ``None``."""
+        return next((node for node in self.nodes if node.name == address), None)
+
+    def find_owner(self):
+        """Return an instance that owns the servers, or ``None``."""
+        for node in self.nodes:
+            if node.core is not None and node.core.election.is_owner:
+                return node
+        return None
+
+    def find_server(self, server_id):
+        """Return a server by its id, or ``None``."""
+        return self.servers_by_id.get(server_id)
+
+    def find_record(self, server_id):
+        """Return the entry of a server."""
+        return self.servers_by_id[server_id].record
+
+    def change_configuration(self):
+        """Let an operator publish the next version."""
+        self.configuration = self._make_configuration(self.configuration.version + 3)
+
+    def schedule_server(self, server):
+        """Look at a server again when something ends on it."""
+        if server.model is None:
+            return
+        due_ms = server.model.find_next_due()
+        is_known = server.wake_ms is not None and server.wake_ms <= (due_ms or 0.0)
+        if due_ms is None or due_ms == float("inf") or is_known:
+            return
+        server.wake_ms = due_ms
+        delay_ms = due_ms - self.clock.now_ms
+        self.clock.schedule(delay_ms, self._advance_server, server, due_ms)
+
+    def _advance_server(self, server, due_ms):
+        if server.wake_ms != due_ms:
+            return
+        server.wake_ms = None
+        if server.model is None:
+            return
+        server.model.advance(self.clock.now_ms)
+        self.network.serve_waiting(server)
+        self.schedule_server(server)
+
+    def _handle(self, node, key, event):
+        if node.core is None or node.key != key:
+            return
+        if node.is_frozen:
+            node.held.append(event)
+            return
+        actions = node.core.handle(event, self.clock.now_ms, self._read_wall(node))
+        self._perform_all(node, actions)
+
+    def _perform_all(self, node, actions):
+        for action in actions:
+            self._perform(node, action)
+        if node.core is not None:
+            self._schedule_wake(node)
+
+    def _perform(self, node, action):
+        match action:
+            case SendPeer():
+                self.network.send(node, action)
+            case DialPeer(address=address):
+                self.network.dial(node, address)
+            case StartRun() | StopRun() | HoldServer():
+                self.network.order(node, action)
+            case AnswerCaller():
+                self.on_answer(node, action)
+            case FollowServers(is_on=is_on):
+                node.is_following = is_on
+            case Exit():
+                self._end_node(node)
+                self.clock.schedule(RESTART_MS, self.start_node, node)
+            case _:
+                if self.on_log is not None:
+                    self.on_log(node, action)
+
+    def _end_node(self, node):
+        node.core = None
+        node.held = []
+        callers, node.callers = node.callers, {}
+        for request in callers.values():
+            self.on_lost_request(request)
+
+    def _thaw(self, node, key):
+        if node.core is None or node.key != key:
+            return
+        node.is_frozen = False
+        held, node.held = node.held, []
+        for event in held:
+            self.deliver(node, key, event)
+        self.deliver(node, key, TimeAdvanced())
+
+    def _schedule_wake(self, node):
+        due_ms = node.core.find_next_due()
+        is_known = node.wake_ms is not None and node.wake_ms <= (due_ms or 0.0)
+        if due_ms is None or (is_known and node.wake_ms > self.clock.now_ms):
+            return
+        node.wake_ms = due_ms
+        delay_ms = max(0.01, due_ms - self.clock.now_ms)
+        self.clock.schedule(delay_ms, self._wake, node, node.key, due_ms)
+
+    def _wake(self, node, key, due_ms):
+        if node.key != key:
+            return
+        if node.wake_ms == due_ms:
+            node.wake_ms = None
+        self.deliver(node, key, TimeAdvanced())
+
+    def _poll_store(self, node, key):
+        if node.core is None or node.key != key:
+            return
+        if self._can_read_store(node):
+            event = ConfigurationRead(configuration=self.configuration)
+            self.clock.schedule(STORE_MS, self.deliver, node, key, event)
+            if node.is_following or not node.core.fleet.by_id:
+                event = ServersRead(servers=self._list_servers())
+                self.clock.schedule(STORE_MS, self.deliver, node, key, event)
+        self.clock.schedule(LIST_POLL_MS, self._poll_store, node, key)
+
+    def _can_read_store(self, node):
+        is_cut = node.name in self.store_cut_nodes
+        return not (self.is_store_away or is_cut or node.is_frozen)
+
+    def _list_servers(self):
+        return tuple(s.record for s in self.servers_by_id.values() if s.is_listed)
+
+    def _unlist(self, server):
+        server.is_listed = False
+
+    def _leave(self, server):
+        self._unlist(server)
+        if server.model is not None:
+            server.model.advance(self.clock.now_ms)
+            server.model.end_all()
+            server.model = None
+            self.network.serve_waiting(server)
+
+    def _read_wall(self, node):
+        return self.clock.wall_ms + self.clock_step_by_node.get(node.name, 0.0)
+
+    def _name_zone(self, index):
+        return f"zone-{index % self.plan.n_zones}"
+
+    def _make_configuration(self, version):
+        queues = tuple(
+            Queue(
+                name=f"{service}-{priority}",
+                host="h",
+                path_prefix=f"/{service}/{priority}/",
+                service=service,
+                priority=priority,
+                max_attempts=3,
+                stretch=1.6,
+                target_ms=60.0,
+            )
+            for service in ("cash", "sweep")
+            for priority in (0, 1)
+        )
+        return Configuration(version=version, queues=queues)
--- a/buckthornshift/standins/__init__.py
+++ b/buckthornshift/standins/__init__.py
@@ -4,6 +4,7 @@
 from ._backend_server import BackendStandin, BackendStandinSettings
 from ._platform_model import ListModel, LogModel, PlatformFaults
 from ._platform_server import PlatformStandin, PlatformStandinSettings
+from ._task_server import TaskServerFaults, TaskServerModel
 
 __all__ = [
     "BackendFaults",
@@ -15,4 +16,6 @@
     "PlatformFaults",
     "PlatformStandin",
     "PlatformStandinSettings",
+    "TaskServerFaults",
+    "TaskServerModel",
 ]
