--- a/buckthornshift/dispatch/_core.py
+++ b/buckthornshift/dispatch/_core.py
@@ -11,7 +11,7 @@
 from ._fleet import Fleet
 from ._holding import Holding
 from ._homes import Homes
-from ._internal import BeatDue, HousekeepingDue, ServersChanged
+from ._internal import BeatDue, HousekeepingDue, RunGone, ServersChanged
 from ._membership import Membership
 from ._owner_jobs import OwnerJobs
 from ._peer_messages import ConfigurationShared
@@ -157,6 +157,7 @@
             StopRequested: self._on_stop,
             HousekeepingDue: self._on_housekeeping,
             ServersChanged: self.placing.request,
+            RunGone: self.placing.request,
         }
 
     def _on_configuration_read(self, event):
--- a/buckthornshift/dispatch/_election.py
+++ b/buckthornshift/dispatch/_election.py
@@ -48,6 +48,7 @@
         self.has_servers = lambda: False
         self.is_claim_complete = False
         self.list_held = lambda: ()
+        self.count_owned = lambda: 0
         self._highest_term = 0
         self._ownerless_since_ms = None
         membership.describe_claim = self.describe
@@ -70,6 +71,7 @@
         """Return the fields of a beat that tell of this instance's claim."""
         return {
             "claim_term": self.term,
+            "n_owned": self.count_owned() if self.is_owner else 0,
             "is_claim_complete": self.is_claim_complete,
             "is_eligible": self._is_eligible(),
             "held_ids": () if self.is_owner else tuple(self.list_held()),
@@ -85,6 +87,9 @@
         if self.is_owner and claims and claims[0][0] > self._own_claim():
             self._yield(claims[0][1])
         if self.is_owner:
+            if claims and self._highest_term > self.term:
+                # The smaller claim has the higher term: outbid it where it was.
+                self._begin_claim()
             self._follow(
                 self.context.identity.address, self.term, self.is_claim_complete
             )
@@ -112,6 +117,10 @@
         self.term = 0
         self._begin_claim()
 
+    def note_server_lost(self):
+        """Take note that a server refused the claim that it had accepted."""
+        self.is_claim_complete = False
+
     def note_claim_complete(self):
         """Tell the others that every listed server has accepted the claim."""
         if not self.is_claim_complete:
@@ -128,7 +137,7 @@
         )
 
     def _own_claim(self):
-        return (self.term, self.context.identity.incarnation)
+        return (self.count_owned(), self.term, self.context.identity.incarnation)
 
     def _own_rank(self):
         identity = self.context.identity
@@ -138,8 +147,10 @@
         claims = []
         for peer in self.membership.list_live():
             self._highest_term = max(self._highest_term, peer.beat.claim_term)
-            if peer.beat.claim_term:
-                claims.append(((peer.beat.claim_term, peer.incarnation), peer))
+            beat = peer.beat
+            if beat.claim_term:
+                claim = (beat.n_owned, beat.claim_term, peer.incarnation)
+                claims.append((claim, peer))
         return sorted(claims, key=lambda claim: claim[0], reverse=True)
 
     def _follow(self, address, term, is_complete):
--- a/buckthornshift/dispatch/_holding.py
+++ b/buckthornshift/dispatch/_holding.py
@@ -45,6 +45,7 @@
         self._shared_ms = -1e9
         election.has_servers = lambda: bool(fleet.by_id)
         election.list_held = self.list_held
+        election.count_owned = fleet.count_owned
 
     def subscribe(self):
         """Return handlers by message class."""
@@ -151,7 +152,9 @@
             return
         server.hold_sent_ms = context.now_ms
         lease_end_ms = None
-        if server.clock_offset_ms is not None and not server.is_idle:
+        can_lease = server.clock_offset_ms is not None and server.is_reachable
+        if can_lease and not server.is_idle:
+            # A server that does not answer gets none, so that its runs lapse.
             lease_end_ms = self.grant_lease(server)
         is_waiting = server.ownership is not Ownership.CLAIMING and not server.is_idle
         server.told_acked = server.last_acked
@@ -204,6 +207,7 @@
         )
         server.refused_term = server.token >> TOKEN_RANDOM_BITS
         self._abandon(server, Ownership.FENCED)
+        self.election.note_server_lost()
         context.start_timer(
             context.settings.lost_after_ms, ServerRetryDue(server_id=server.id)
         )
@@ -304,6 +308,7 @@
     def _finish_take(self, server, event):
         context = self.context
         server.ownership = Ownership.OWNED
+        self.runs.forget_lost(server.id)
         context.log(
             LogCode.SERVER_TAKEN,
             server.id,
@@ -376,6 +381,7 @@
         is_gone = context.now_ms - server.unlisted_ms >= FORGET_UNLISTED_MS
         if is_gone or not server.is_reachable:
             self.fleet.by_id.pop(server.id, None)
+            self.runs.forget_lost(server.id)
             context.emit(ForgetServer(server_id=server.id))
 
     def _check_complete(self):
--- a/buckthornshift/dispatch/_homes.py
+++ b/buckthornshift/dispatch/_homes.py
@@ -27,7 +27,7 @@
     :param deadline_ms: when the caller stops to wait.
     :param owner: address and term of the owner that has the job, or ``None``.
     :param may_have_run: whether an owner was given the job and may have started it.
-    :param resubmit_ms: when nothing of a lost owner can run any more.
+    :param resubmit_ms: when nothing that a former owner started can run any more.
     :param declined_by: address and term of an owner that gave the job back.
     """
 
@@ -39,7 +39,7 @@
     deadline_ms: float = 0.0
     owner: tuple | None = None
     may_have_run: bool = False
-    resubmit_ms: float | None = None
+    resubmit_ms: float = 0.0
     declined_by: tuple | None = None
 
 
@@ -177,8 +177,9 @@
             self.context.counters.n_returned += 1
             home_job.declined_by = home_job.owner[:2]
             home_job.owner = None
-            home_job.resubmit_ms = None
             home_job.may_have_run = home_job.may_have_run or ended.may_have_run
+            if home_job.may_have_run:
+                self._wait_for_lapse(home_job, self.context.now_ms)
             self._route(home_job)
             return
         self._answer(home_job, ended)
@@ -187,15 +188,16 @@
         context = self.context
         address, term, is_complete = self.election.owner or (None, 0, False)
         if home_job.owner is not None:
-            if self._is_owner_live(home_job):
+            if self.membership.is_live(home_job.owner[0], home_job.owner[2]):
                 return
-            if not self._may_pass_on(home_job, term, is_complete):
-                return
-            home_job.may_have_run = True
+            self._lose_owner(home_job)
         if address is None or home_job.declined_by == (address, term):
             return
+        is_lapsed = context.now_ms >= home_job.resubmit_ms
+        if home_job.may_have_run and not (is_complete or is_lapsed):
+            # Only an owner of every server sees what a former one left running.
+            return
         home_job.owner = (address, term, self._find_incarnation(address))
-        home_job.resubmit_ms = None
         context.log(
             LogCode.JOB_SENT,
             home_job.job.job_id,
@@ -205,24 +207,20 @@
         )
         self._submit(home_job)
 
-    def _is_owner_live(self, home_job):
-        address, _, incarnation = home_job.owner
-        return self.membership.is_live(address, incarnation)
+    def _lose_owner(self, home_job):
+        peer = self.membership.by_address.get(home_job.owner[0])
+        heard_ms = self.context.now_ms
+        if peer is not None and peer.heard_ms is not None:
+            heard_ms = peer.heard_ms
+        home_job.owner = None
+        home_job.may_have_run = True
+        self._wait_for_lapse(home_job, heard_ms)
 
-    def _may_pass_on(self, home_job, term, is_complete):
-        """Return whether nothing of the lost owner can start or run unseen."""
-        if is_complete and term > home_job.owner[1]:
-            return True
+    def _wait_for_lapse(self, home_job, heard_ms):
         context = self.context
-        if home_job.resubmit_ms is None:
-            peer = self.membership.by_address.get(home_job.owner[0])
-            heard_ms = context.now_ms
-            if peer is not None and peer.heard_ms is not None:
-                heard_ms = peer.heard_ms
-            wait_ms = heard_ms + context.settings.resubmit_after_ms - context.now_ms
-            home_job.resubmit_ms = context.now_ms + max(0.0, wait_ms)
-            context.start_timer(max(0.0, wait_ms), ResubmitDue(key=home_job.key))
-        return context.now_ms >= home_job.resubmit_ms
+        home_job.resubmit_ms = heard_ms + context.settings.resubmit_after_ms
+        delay_ms = max(0.0, home_job.resubmit_ms - context.now_ms)
+        context.start_timer(delay_ms, ResubmitDue(key=home_job.key))
 
     def _find_incarnation(self, address):
         peer = self.membership.by_address.get(address)
--- a/buckthornshift/dispatch/_internal.py
+++ b/buckthornshift/dispatch/_internal.py
@@ -52,6 +52,16 @@
     """The list of backend servers has changed."""
 
 
+@attrs.frozen(kw_only=True)
+class RunGone:
+    """A run does not hold room any more.
+
+    :param job_id: the job that it belongs to.
+    """
+
+    job_id: str = ""
+
+
 @attrs.frozen(kw_only=True)
 class SubmissionEnded:
     """A submission has its outcome, to be told to the instance that sent it.
--- a/buckthornshift/dispatch/_owner_jobs.py
+++ b/buckthornshift/dispatch/_owner_jobs.py
@@ -7,6 +7,7 @@
     HousekeepingDue,
     JobDeadline,
     PeerLost,
+    RunGone,
     ServersChanged,
     SubmissionEnded,
 )
@@ -40,6 +41,7 @@
             PeerLost: self.on_peer_lost,
             JobDeadline: self.on_deadline,
             ClaimEnded: self.on_claim_ended,
+            RunGone: self.on_run_gone,
             HousekeepingDue: self.on_housekeeping,
         }
 
@@ -139,8 +141,11 @@
         )
         self._tell(job, ended)
 
-    def note_run_gone(self, job):
-        """Look whether a returned job can be given back now."""
+    def on_run_gone(self, message):
+        """Look whether a job can be given back now."""
+        job = self.by_id.get(message.job_id)
+        if job is None:
+            return
         is_left_over = not self.election.is_owner and not job.is_ended
         if (job.is_returned or is_left_over) and not self.runs.count_open(job):
             self.return_job(job)
--- a/buckthornshift/dispatch/_peer_messages.py
+++ b/buckthornshift/dispatch/_peer_messages.py
@@ -19,6 +19,7 @@
     :param zone: see :class:`DispatchIdentity`.
     :param config_version: version of the configuration in force.
     :param claim_term: term under which the sender owns the servers; 0 if it doesn't.
+    :param n_owned: servers that it owns; the larger claim stands.
     :param is_claim_complete: whether every listed server has accepted that term.
     :param is_eligible: whether it could own the servers.
     :param is_leaving: whether it is stopping.
@@ -34,6 +35,7 @@
     zone: str = ""
     config_version: int = 0
     claim_term: int = 0
+    n_owned: int = 0
     is_claim_complete: bool = False
     is_eligible: bool = False
     is_leaving: bool = False
--- a/buckthornshift/dispatch/_runs.py
+++ b/buckthornshift/dispatch/_runs.py
@@ -2,7 +2,7 @@
 
 from ._actions import LogCode, StartRun, StopRun
 from ._events import EndKind, StartAnswered, StopAnswered, Verdict
-from ._internal import HousekeepingDue, ServersChanged, StopRetryDue
+from ._internal import HousekeepingDue, RunGone, ServersChanged, StopRetryDue
 from ._jobs import Run, RunPhase, TaskPhase
 from ._peer_messages import EndReason
 
@@ -33,6 +33,7 @@
         self.holding = None
         self._open_by_name = {}
         self._done_by_name = {}
+        self._lost_server_by_name = {}
         jobs.runs = self
 
     def subscribe(self):
@@ -51,7 +52,7 @@
 
     def is_open(self, name):
         """Return whether a run of a task may exist."""
-        return name in self._open_by_name
+        return name in self._open_by_name or name in self._lost_server_by_name
 
     def count_open(self, job):
         """Return how many runs of a job may exist."""
@@ -222,6 +223,8 @@
         """
         for run in list(server.run_by_name.values()):
             self._remove(server, run)
+            if kind is None:
+                self._lost_server_by_name[run.name] = server.id
             if run.task is None:
                 continue
             if kind is None:
@@ -230,6 +233,12 @@
             else:
                 self._finish(server, run, kind)
 
+    def forget_lost(self, server_id):
+        """Take note that what was lost with a server is listed or gone by now."""
+        for name, lost_id in list(self._lost_server_by_name.items()):
+            if lost_id == server_id:
+                del self._lost_server_by_name[name]
+
     def adopt_if_known(self, server, run):
         """Join a run found at a takeover with its job, if that is here."""
         self._open_by_name[run.name] = (server, run)
@@ -288,7 +297,7 @@
         server.remove_run(run)
         if self._open_by_name.get(run.name, (None, None))[1] is run:
             del self._open_by_name[run.name]
-        self.context.post(ServersChanged())
+        self.context.post(RunGone(job_id=run.name.partition(".")[0]))
 
     def _note_running(self, server, run):
         run.phase = RunPhase.RUNNING
@@ -351,12 +360,10 @@
                     self.jobs.fail(job, EndReason.ATTEMPTS_USED_UP)
             case _:
                 self._put_back(run)
-        self.jobs.note_run_gone(job)
 
     def _put_back(self, run):
         if run.task is not None and run.task.phase is TaskPhase.PLACED:
             run.task.job.set_phase(run.task, TaskPhase.WAITING)
-            self.jobs.note_run_gone(run.task.job)
 
     def _learn(self, server, run):
         server.n_failures = 0
--- a/buckthornshift/proving/fleet/_callers.py
+++ b/buckthornshift/proving/fleet/_callers.py
@@ -17,6 +17,8 @@
 # Faults last up to 4 s, and a job of before them up to another 4 s.
 LAST_BATCH_MS = 8_000.0
 LAST_TIMEOUT_MS = 3_000.0
+# Time left after the last deadline of a run, for its answer.
+LAST_SLACK_MS = 500.0
 
 
 @attrs.frozen(kw_only=True)
@@ -186,7 +188,9 @@
 
     def _resend(self, request):
         job, queue, timeout_ms, is_last, n_try = request.sent
-        if n_try < 4:
+        plan = self.world.plan
+        end_ms = self.world.clock.now_ms + RESEND_MS + timeout_ms
+        if n_try < 4 and end_ms < plan.busy_ms + plan.settle_ms - LAST_SLACK_MS:
             self.world.clock.schedule(
                 RESEND_MS, self._send, job, queue, timeout_ms, is_last, n_try + 1
             )
--- a/buckthornshift/proving/fleet/_faults.py
+++ b/buckthornshift/proving/fleet/_faults.py
@@ -9,6 +9,15 @@
 BURST_FACTOR = 4.0
 LEAVING_SHARE = 0.4
 CLOCK_STEP_MS = 3_000.0
+# Faults in which an instance does not run or does not read the store.
+TROUBLES = (
+    FleetFault.NODE_FREEZE,
+    FleetFault.OWNER_FREEZE,
+    FleetFault.NODE_SLOW,
+    FleetFault.NODE_CUT,
+    FleetFault.STORE_AWAY,
+    FleetFault.STORE_CUT,
+)
 
 
 class FleetFaultInjector:
@@ -33,6 +42,9 @@
         :param fault: the :class:`PlannedFault`.
         """
         world = self.world
+        if fault.kind in TROUBLES:
+            end_ms = world.clock.now_ms + fault.length_ms
+            world.last_trouble_ms = max(world.last_trouble_ms, end_ms)
         node = world.nodes[fault.target % len(world.nodes)]
         owner = world.find_owner() or node
         if fault.kind.value.startswith("server"):
@@ -103,13 +115,12 @@
         match fault.kind:
             case FleetFault.SERVER_DEATH:
                 world.kill_server(server)
-                self._later(fault, world.add_server, server.zone, fault.target)
+                self._later(fault, world.add_server, server.zone, server.index)
             case FleetFault.SERVER_DRAIN:
                 world.drain_server(server)
                 known = world.oracle.drain_known_ms_by_server
-                if not (world.is_store_away or world.store_cut_nodes):
-                    known[server.name] = world.clock.now_ms
-                self._later(fault, world.add_server, server.zone, fault.target)
+                known.setdefault(server.name, world.clock.now_ms)
+                self._later(fault, world.add_server, server.zone, server.index)
             case FleetFault.SERVER_ADDED:
                 world.add_server(server.zone, fault.target)
             case FleetFault.SERVER_SLOW:
--- a/buckthornshift/proving/fleet/_plan.py
+++ b/buckthornshift/proving/fleet/_plan.py
@@ -115,7 +115,7 @@
         seed=seed,
         n_zones=n_zones,
         n_nodes=random_state.randint(max(2, n_zones), 7),
-        n_servers=random_state.randint(max(3, n_zones), 12),
+        n_servers=random_state.randint(4, 12),
         jobs_per_s=random_state.choice((4.0, 12.0, 30.0)),
         zone_ms=random_state.choice((0.5, 1.4, 6.0)),
         faults=tuple(sorted(faults, key=lambda fault: fault.start_ms)),
--- a/buckthornshift/proving/fleet/_world.py
+++ b/buckthornshift/proving/fleet/_world.py
@@ -81,6 +81,7 @@
     :param name: its id.
     :param zone: availability zone.
     :param model: the model, or ``None`` once it is down.
+    :param index: decides its service and kind.
     :param record: its entry.
     :param is_listed: whether the store has the entry.
     :param waiting: renewals that wait for an end.
@@ -90,6 +91,7 @@
     name: str = ""
     zone: str = ""
     model: TaskServerModel | None = None
+    index: int = 0
     record: ServerRecord = ServerRecord()
     is_listed: bool = True
     waiting: list = attrs.field(factory=list)
@@ -116,6 +118,7 @@
         self.servers_by_id = {}
         self.configuration = self._make_configuration(1)
         self.is_store_away = False
+        self.last_trouble_ms = 0.0
         self.store_cut_nodes = set()
         self.clock_step_by_node = {}
         self.on_answer = None
@@ -153,7 +156,9 @@
             plan_run=lambda task: self.plan_run(task),
             observer=self.oracle,
         )
-        server = ServerNode(name=name, zone=zone, model=model, record=record)
+        server = ServerNode(
+            name=name, zone=zone, model=model, index=index, record=record
+        )
         self.servers_by_id[name] = server
         return server
 
--- /dev/null
+++ b/tests/proving/fleet/test_fleet_seeds.py
@@ -0,0 +1,38 @@
+"""Fixed seeds of mixed faults, and seeds that once showed a fault."""
+
+import pytest
+
+from buckthornshift.proving.fleet import FleetFault, run_fleet_seed
+
+# Each seed with what was wrong when it first failed.
+SEEDS_ONCE_FAILED = {
+    4: "a server lost to a rival was not taken for one that may run the task",
+    8: "a submission repeated after a silent link was refused as not run",
+    9: "renewals that got no answer kept extending the time until a run had lapsed",
+    15: "two claims of the same rank",
+    36: "a job given back waited for a run that it had no part in",
+    20143: "the same, after a freeze of the owner",
+    30203: "the same, after cuts",
+}
+
+
+@pytest.mark.parametrize("seed", range(16))
+def test_mixed_faults(seed):
+    result = run_fleet_seed(seed)
+    assert result.violation is None, result.detail
+
+
+@pytest.mark.parametrize("kind", list(FleetFault))
+def test_one_kind_of_fault(kind):
+    result = run_fleet_seed(1_000, kinds=[kind], n_faults=4)
+    assert result.violation is None, result.detail
+
+
+@pytest.mark.parametrize("seed", SEEDS_ONCE_FAILED, ids=str)
+def test_seed_that_once_failed(seed):
+    result = run_fleet_seed(seed)
+    assert result.violation is None, result.detail
+
+
+def test_a_seed_repeats_exactly():
+    assert run_fleet_seed(5) == run_fleet_seed(5)
