FIX A stopping instance answers everything, and refuses what it can't finish

Now a job that would take longer than the time left is refused as not run at once, what is open at the end is answered as unknown, and idle connections are closed once the balancer has had time to learn of the stop. New rule stop_cuts_nothing in the randomised runs, with its mutation.

--- a/buckthornshift/dispatch/_homes.py
+++ b/buckthornshift/dispatch/_homes.py
@@ -11,6 +11,8 @@
 from ._internal import CallerDeadline, OwnerChanged, ResubmitDue, SubmissionEnded
 from ._peer_messages import DropJob, EndReason, JobEnded, Outcome, SubmitJob
 
+# What a job may take as a multiple of its estimate; nine of ten stay below.
+LONG_RUN_FACTOR = 2.0
 # The owner answers at the deadline itself; this is the wait for its message.
 OWNER_ANSWER_SLACK_MS = 20.0
 
@@ -56,6 +58,7 @@
         self.membership = membership
         self.election = election
         self.by_key = {}
+        self.last_answer_ms = None
         self._key_by_caller = {}
         self._next_key = 0
 
@@ -98,6 +101,9 @@
         context.start_timer(
             event.timeout_ms + OWNER_ANSWER_SLACK_MS, CallerDeadline(key=home_job.key)
         )
+        if self._is_too_late(home_job):
+            self._refuse(home_job, EndReason.STOPPING)
+            return
         self._route(home_job)
 
     def on_caller_left(self, event):
@@ -113,21 +119,8 @@
     def on_deadline(self, message):
         """Answer a caller whose deadline came before the owner's answer."""
         home_job = self.by_key.get(message.key)
-        if home_job is None:
-            return
-        may_have_run = home_job.may_have_run
-        if home_job.owner is not None:
-            self._send(home_job.owner[0], DropJob(key=home_job.key))
-            may_have_run = True
-        self._answer(
-            home_job,
-            JobEnded(
-                key=home_job.key,
-                outcome=Outcome.FAILED if may_have_run else Outcome.NOT_RUN,
-                reason=EndReason.DEADLINE,
-                may_have_run=may_have_run,
-            ),
-        )
+        if home_job is not None:
+            self._give_up(home_job, EndReason.DEADLINE)
 
     def on_owner_changed(self, message):
         """Pass on what has no owner, or whose owner was lost."""
@@ -160,14 +153,42 @@
         if message.address == self.context.identity.address:
             self._finish(message.address, message.ended)
 
-    def refuse_waiting(self, reason):
-        """Refuse every job that no owner has."""
+    def give_up_all(self, reason):
+        """Answer every open request, because the process ends.
+
+        :param reason: the :class:`EndReason`.
+        """
         for home_job in list(self.by_key.values()):
-            if home_job.owner is None and not home_job.may_have_run:
-                self._answer(
-                    home_job,
-                    JobEnded(outcome=Outcome.NOT_RUN, reason=reason),
-                )
+            self._give_up(home_job, reason)
+
+    def _is_too_late(self, home_job):
+        """Return whether the process will end before a job's answer."""
+        if self.last_answer_ms is None:
+            return False
+        expected_ms = LONG_RUN_FACTOR * home_job.job.compute_chain_ms()
+        return self.context.now_ms + expected_ms > self.last_answer_ms
+
+    def _refuse(self, home_job, reason):
+        retry_after_ms = self.context.settings.min_retry_after_ms
+        ended = JobEnded(
+            outcome=Outcome.NOT_RUN, reason=reason, retry_after_ms=retry_after_ms
+        )
+        self._answer(home_job, ended)
+
+    def _give_up(self, home_job, reason):
+        may_have_run = home_job.may_have_run
+        if home_job.owner is not None:
+            self._send(home_job.owner[0], DropJob(key=home_job.key))
+            may_have_run = True
+        self._answer(
+            home_job,
+            JobEnded(
+                key=home_job.key,
+                outcome=Outcome.FAILED if may_have_run else Outcome.NOT_RUN,
+                reason=reason,
+                may_have_run=may_have_run,
+            ),
+        )
 
     def _finish(self, address, ended):
         home_job = self.by_key.get(ended.key)
--- a/buckthornshift/dispatch/_settings.py
+++ b/buckthornshift/dispatch/_settings.py
@@ -55,6 +55,9 @@
     :param suspect_ms: time for which a server that failed or stalled a task is used
         last.
     :param answer_margin_ms: time kept for the way back before a caller's deadline.
+    :param stop_min_ms: shortest time from the request to stop to the end, in which
+        the balancer learns that the instance takes no new connections.
+    :param stop_max_ms: longest such time; the platform kills after 6 s.
     :param min_retry_after_ms: shortest time told to a refused caller.
     """
 
@@ -77,6 +80,8 @@
     stalled_after_ms: float = 600.0
     suspect_ms: float = 4_000.0
     answer_margin_ms: float = 30.0
+    stop_min_ms: float = 3_000.0
+    stop_max_ms: float = 5_500.0
     min_retry_after_ms: float = 200.0
 
     @property
--- a/buckthornshift/dispatch/_stopping.py
+++ b/buckthornshift/dispatch/_stopping.py
@@ -3,6 +3,7 @@
 from ._actions import Exit, LogCode
 from ._events import StopRequested
 from ._internal import StopStepDue
+from ._peer_messages import EndReason
 
 STOP_STEP_MS = 50.0
 
@@ -13,19 +14,12 @@
     :param context: the shared :class:`DispatchContext`.
     :param homes: the :class:`Homes`.
     :param holding: the :class:`Holding`.
-    :param min_ms: shortest time from the request to the end, in which the balancer
-        learns that the instance takes no new connections.
-    :param max_ms: longest such time.
     """
 
-    def __init__(
-        self, context=None, homes=None, holding=None, min_ms=3_000.0, max_ms=5_300.0
-    ):
+    def __init__(self, context=None, homes=None, holding=None):
         self.context = context
         self.homes = homes
         self.holding = holding
-        self.min_ms = min_ms
-        self.max_ms = max_ms
         self._asked_ms = None
 
     def subscribe(self):
@@ -38,6 +32,7 @@
         if self._asked_ms is not None:
             return
         self._asked_ms = context.now_ms
+        self.homes.last_answer_ms = context.now_ms + context.settings.stop_max_ms
         context.log(
             LogCode.STOPPING,
             context.identity.address,
@@ -48,15 +43,18 @@
     def on_step(self, message):
         """Exit if nothing is left to do, or no time."""
         context = self.context
+        settings = context.settings
         waited_ms = context.now_ms - self._asked_ms
         is_idle = not self.homes.by_key and not self.holding.list_held()
-        if waited_ms >= self.max_ms or (is_idle and waited_ms >= self.min_ms):
+        is_over = waited_ms >= settings.stop_max_ms
+        if is_over or (is_idle and waited_ms >= settings.stop_min_ms):
             context.log(
                 LogCode.STOPPED,
                 context.identity.address,
                 n_requests=len(self.homes.by_key),
                 after_ms=round(waited_ms),
             )
+            self.homes.give_up_all(EndReason.STOPPING)
             context.emit(Exit())
             return
         context.start_timer(STOP_STEP_MS, StopStepDue())
--- a/buckthornshift/proving/fleet/_oracle.py
+++ b/buckthornshift/proving/fleet/_oracle.py
@@ -24,6 +24,7 @@
     WHOLE_ANSWER = "whole_answer"
     FAILED_HAS_CAUSE = "failed_has_cause"
     CONFIGURATION = "configuration"
+    STOP_CUTS_NOTHING = "stop_cuts_nothing"
     ORPHAN_STOPPED = "orphan_stopped"
     RECOVERED = "recovered"
 
@@ -155,6 +156,11 @@
             case EndKind.LAPSED:
                 self.counts.n_lapsed += 1
 
+    def note_stopped(self, node):
+        """Check that a process that stops gracefully leaves no request open."""
+        if node.callers:
+            self._fail(FleetRule.STOP_CUTS_NOTHING, f"{node.name}: {len(node.callers)}")
+
     def note_version(self, node_key, version):
         """Check that the configuration of a process never goes back."""
         if version < self._version_by_node.get(node_key, 0):
--- a/buckthornshift/proving/fleet/_world.py
+++ b/buckthornshift/proving/fleet/_world.py
@@ -309,6 +309,7 @@
             case FollowServers(is_on=is_on):
                 node.is_following = is_on
             case Exit():
+                self.oracle.note_stopped(node)
                 self._end_node(node)
                 self.clock.schedule(RESTART_MS, self.start_node, node)
             case _:
--- a/buckthornshift/serving/_http_server.py
+++ b/buckthornshift/serving/_http_server.py
@@ -12,7 +12,10 @@
 import httptools
 
 MAX_PIPELINED = 32
-READ_PAUSE_BYTES = 1_048_576
+# While the server closes, what was idle for this long is closed from its side. Before
+# that, the balancer has time to learn of the stop.
+CLOSE_IDLE_AFTER_S = 2.5
+CLOSE_IDLE_INTERVAL_S = 0.5
 
 
 @attrs.frozen(kw_only=True)
@@ -108,8 +111,10 @@
         return self._server.sockets[0].getsockname()[1]
 
     def begin_close(self):
-        """Let connections end after their next response."""
+        """Let connections end after their next response, and idle ones after a time."""
         self.is_closing = True
+        loop = asyncio.get_running_loop()
+        loop.call_later(CLOSE_IDLE_AFTER_S, self._close_idle)
 
     def close(self):
         """Stop listening and close every connection."""
@@ -118,6 +123,13 @@
         for connection in list(self.connections):
             connection.close()
 
+    def _close_idle(self):
+        loop = asyncio.get_running_loop()
+        oldest_s = loop.time() - CLOSE_IDLE_INTERVAL_S
+        for connection in list(self.connections):
+            connection.close_if_idle(oldest_s)
+        loop.call_later(CLOSE_IDLE_INTERVAL_S, self._close_idle)
+
 
 class _Connection(asyncio.Protocol):
     def __init__(self, server=None):
@@ -128,6 +140,7 @@
         self._exchanges = []
         self._is_ending = False
         self._timer = None
+        self._active_s = 0.0
         self._reset()
 
     def connection_made(self, transport):
@@ -147,6 +160,7 @@
     def data_received(self, data):
         if self._is_ending:
             return
+        self._active_s = asyncio.get_running_loop().time()
         if not self._exchanges and not self._n_head_bytes:
             self._set_timer(self._limits.head_timeout_s)
         if not self._is_head_done:
@@ -222,6 +236,12 @@
         if self._transport is not None:
             self._transport.close()
 
+    def close_if_idle(self, oldest_s):
+        """Close the connection if it has no request and nothing came since a time."""
+        is_idle = not self._exchanges and not self._n_head_bytes
+        if is_idle and self._active_s < oldest_s:
+            self.close()
+
     def _reset(self):
         self._url = b""
         self._body = bytearray()
--- a/tests/proving/fleet/test_fleet_mutations.py
+++ b/tests/proving/fleet/test_fleet_mutations.py
@@ -164,6 +164,12 @@
     )
 
 
+def exit_at_once(monkeypatch):
+    """End with requests open."""
+    monkeypatch.setattr(Homes, "give_up_all", lambda self, reason: None)
+    monkeypatch.setattr(Homes, "_is_too_late", lambda self, home_job: False)
+
+
 def start_late(monkeypatch):
     """Take a rejected start for one that may run elsewhere at the same time."""
     answered = RunBook.on_start_answered
@@ -189,6 +195,7 @@
     (fail_without_cause, FleetRule.FAILED_HAS_CAUSE, [FleetFault.SERVER_SLOW]),
     (forget_callers, FleetRule.ONE_ANSWER, []),
     (take_any_configuration, FleetRule.CONFIGURATION, []),
+    (exit_at_once, FleetRule.STOP_CUTS_NOTHING, [FleetFault.ROLLING_STOP]),
     (leave_orphans, FleetRule.ORPHAN_STOPPED, []),
     (never_claim_again, FleetRule.RECOVERED, [FleetFault.ALL_DIE]),
 ]
