FIX A head of 2 MB gets 431 on the product's own ports, deep nesting a refusal

Found on the landed code: uvicorn's parser has no limit on heads (2 MB was read whole), and 100,000 nested brackets in a job's body raised RecursionError, a 500 with a traceback.

--- a/buckthornshift/contracts/_checks.py
+++ b/buckthornshift/contracts/_checks.py
@@ -85,7 +85,7 @@
         _check_job_keys(value)
         parsed = convert_value(value, JobBody, "body")
         _check_tasks(parsed.tasks)
-    except msgspec.DecodeError as error:
+    except (msgspec.DecodeError, RecursionError) as error:
         return Refusal(detail=f"body: got {error}, expected JSON")
     except InvalidInputError as error:
         return Refusal(detail=str(error))
--- a/buckthornshift/links/_web_server.py
+++ b/buckthornshift/links/_web_server.py
@@ -6,16 +6,62 @@
 
 import uvicorn
 from blacksheep import Application, Request, Router
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from ..contracts import BuckthornshiftError
 
 STOP_TIMEOUT_S = 5
+# The usual limit of servers in front; the longest path and header of ours need 1 KB.
+MAX_HEAD_BYTES = 16_384
+_HEAD_TOO_LARGE = (
+    b"HTTP/1.1 431 Request Header Fields Too Large\r\n"
+    b"content-length: 0\r\nconnection: close\r\n\r\n"
+)
 
 
 class PortInUseError(BuckthornshiftError):
     """The wanted address cannot be listened on."""
 
 
+class _BoundedHttp(HttpToolsProtocol):
+    """Refuse request heads above the limit instead of reading them whole."""
+
+    n_head_bytes = 0
+    n_field_bytes = 0
+    is_in_head = True
+
+    def data_received(self, data):
+        """Count what belongs to a head that is not whole yet."""
+        super().data_received(data)
+        if self.is_in_head:
+            self.n_head_bytes += len(data)
+            self._check(self.n_head_bytes)
+
+    def on_message_begin(self):
+        """Begin to count a head."""
+        self.n_head_bytes = 0
+        self.n_field_bytes = 0
+        self.is_in_head = True
+        super().on_message_begin()
+
+    def on_header(self, name, value):
+        """Count a header field that arrived whole."""
+        self.n_field_bytes += len(name) + len(value)
+        self._check(self.n_field_bytes)
+        super().on_header(name, value)
+
+    def on_headers_complete(self):
+        """End the count; a head above the limit reaches no handler."""
+        self.is_in_head = False
+        if not self.transport.is_closing():
+            super().on_headers_complete()
+
+    def _check(self, n_bytes):
+        if n_bytes > MAX_HEAD_BYTES and not self.transport.is_closing():
+            self.transport.write(_HEAD_TOO_LARGE)
+            self.transport.close()
+
+
 class _Server(uvicorn.Server):
     """Leave signals to the process that runs the server."""
 
@@ -51,7 +97,7 @@
             self.app,
             log_level="critical",
             access_log=False,
-            http="httptools",
+            http=_BoundedHttp,
             ws="none",
             loop="none",
             timeout_keep_alive=60,
--- a/tests/contracts/test_checks.py
+++ b/tests/contracts/test_checks.py
@@ -100,3 +100,8 @@
     assert parse_job_id_ms(job_id) == 1_700_000_000_123
     for bad in ("", "x", job_id.upper(), "00000000-0000-4000-8000-000000000000", None):
         assert parse_job_id_ms(bad) is None
+
+
+def test_deep_nesting_is_refused():
+    """100,000 nested brackets overflowed the decoder's stack."""
+    assert isinstance(parse_job("id", b"[" * 100_000), Refusal)
