--- a/buckthornshift/serving/_http_server.py
+++ b/buckthornshift/serving/_http_server.py
@@ -12,6 +12,8 @@
 import httptools
 
 MAX_PIPELINED = 32
+# Time for a caller to read why its request was rejected.
+LINGER_S = 0.5
 # While the server closes, what was idle for this long is closed from its side. Before
 # that, the balancer has time to learn of the stop.
 CLOSE_IDLE_AFTER_S = 2.5
@@ -161,22 +163,22 @@
         if self._is_ending:
             return
         self._active_s = asyncio.get_running_loop().time()
-        if not self._exchanges and not self._n_head_bytes:
+        if not self._exchanges and not self._is_in_message:
             self._set_timer(self._limits.head_timeout_s)
-        if not self._is_head_done:
-            self._n_head_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
             self._reject(http.HTTPStatus.NOT_IMPLEMENTED)
         except httptools.HttpParserError:
             self._reject(http.HTTPStatus.BAD_REQUEST)
-        is_long = self._n_head_bytes > self._limits.max_head_bytes
-        if not self._is_head_done and is_long:
-            self._reject(http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
+        if self._is_in_message and not self._is_head_done:
+            self._n_head_bytes += len(data)
+            if self._n_head_bytes > self._limits.max_head_bytes:
+                self._reject(http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
 
     def on_message_begin(self):
         self._reset()
+        self._is_in_message = True
 
     def on_url(self, url):
         self._url += url
@@ -209,8 +211,7 @@
         is_last = not self._parser.should_keep_alive()
         exchange = Exchange(connection=self, request=request, is_last=is_last)
         self._exchanges.append(exchange)
-        self._n_head_bytes = 0
-        self._is_head_done = False
+        self._is_in_message = False
         if len(self._exchanges) > MAX_PIPELINED:
             self._reject(http.HTTPStatus.TOO_MANY_REQUESTS)
         elif len(self._exchanges) == 1:
@@ -238,7 +239,7 @@
 
     def close_if_idle(self, oldest_s):
         """Close the connection if it has no request and nothing came since a time."""
-        is_idle = not self._exchanges and not self._n_head_bytes
+        is_idle = not self._exchanges and not self._is_in_message
         if is_idle and self._active_s < oldest_s:
             self.close()
 
@@ -249,6 +250,7 @@
         self._n_head_bytes = 0
         self._n_field_bytes = 0
         self._is_head_done = False
+        self._is_in_message = False
 
     def _count_field(self, n_bytes):
         self._n_field_bytes += n_bytes
@@ -262,7 +264,11 @@
             exchange.notify_gone()
         self._exchanges.clear()
         self._write(status, status.phrase.encode(), (), True)
-        self._end()
+        self._is_ending = True
+        self._cancel_timer()
+        # Closing with bytes unread would reset the connection and lose the answer.
+        self._transport.write_eof()
+        asyncio.get_running_loop().call_later(LINGER_S, self._transport.close)
 
     def _end(self):
         self._is_ending = True
@@ -292,7 +298,7 @@
             self._timer = None
 
     def _time_out(self):
-        if self._n_head_bytes and not self._exchanges:
+        if self._is_in_message and not self._exchanges:
             self._reject(http.HTTPStatus.REQUEST_TIMEOUT)
         elif not self._exchanges:
             self.close()
--- /dev/null
+++ b/tests/platform/test_orders.py
@@ -0,0 +1,102 @@
+"""Orders to backend servers and what their answers say."""
+
+import json
+
+import pytest
+
+from buckthornshift.dispatch import (
+    AnswerCaller,
+    EndKind,
+    EndReason,
+    HoldServer,
+    Outcome,
+    StartRun,
+    Verdict,
+)
+from buckthornshift.platform import (
+    decode_answer,
+    encode_hold,
+    encode_outcome,
+    encode_start,
+)
+
+
+def test_start():
+    body = encode_start(
+        StartRun(task="t.0.0.1", run=2, payload="p", lease_end_ms=9, token=7)
+    )
+    assert json.loads(body) == {
+        "Task": "t.0.0.1",
+        "RunId": 2,
+        "Spec": "p",
+        "DeadlineMs": 9,
+        "FencingToken": 7,
+    }
+
+
+def test_hold_without_a_lease_leaves_the_deadline_out():
+    assert "DeadlineMs" not in json.loads(encode_hold(HoldServer(token=7)))
+
+
+@pytest.mark.parametrize(
+    ("status", "body", "verdict"),
+    [
+        (200, b'{"ClockMs":1}', Verdict.DONE),
+        (409, b'{"ClockMs":1,"Reason":"fence"}', Verdict.FENCED),
+        (409, b'{"ClockMs":1,"Reason":"old"}', Verdict.OLD_RUN),
+        (409, b'{"ClockMs":1,"Reason":"late"}', Verdict.LATE),
+        (409, b'{"ClockMs":1,"Reason":"room"}', Verdict.NO_ROOM),
+        (409, b'{"ClockMs":1,"Reason":"new"}', Verdict.REJECTED),
+        (421, b"", Verdict.OTHER_INCARNATION),
+        (429, b"", Verdict.UNHEALTHY),
+        (503, b"", Verdict.UNHEALTHY),
+        (400, b"", Verdict.REJECTED),
+        (200, b"not json", Verdict.NO_ANSWER),
+        (200, b'{"Running":[["t"]]}', Verdict.NO_ANSWER),
+    ],
+)
+def test_verdicts(status, body, verdict):
+    assert decode_answer(status, body)[0] is verdict
+
+
+def test_running_and_ended():
+    body = json.dumps(
+        {
+            "ClockMs": 5,
+            "Running": [["a", 1, "", 41], ["b", 2, "c", 7, 900]],
+            "Ended": [[58, "c", 1, "alone", ""], [59, "d", 3, "done", ""]],
+        }
+    ).encode()
+    _, clock_ms, running, ended = decode_answer(200, body)
+    assert clock_ms == 5
+    assert [(r.task, r.run, r.percent) for r in running] == [
+        ("a", 1, 41.0),
+        ("b", 2, 7.0),
+    ]
+    assert [(e.number, e.kind) for e in ended] == [
+        (58, EndKind.BROKEN),
+        (59, EndKind.DONE),
+    ]
+
+
+@pytest.mark.parametrize(
+    ("action", "status"),
+    [
+        (AnswerCaller(outcome=Outcome.COMPLETED), 200),
+        (
+            AnswerCaller(outcome=Outcome.FAILED, reason=EndReason.ATTEMPTS_USED_UP),
+            200,
+        ),
+        (AnswerCaller(outcome=Outcome.FAILED, reason=EndReason.DEADLINE), 504),
+        (AnswerCaller(outcome=Outcome.FAILED, reason=EndReason.STOPPING), 502),
+        (AnswerCaller(outcome=Outcome.NOT_RUN, reason=EndReason.OVERLOADED), 429),
+        (AnswerCaller(outcome=Outcome.NOT_RUN, reason=EndReason.NO_OWNER), 503),
+    ],
+)
+def test_answers(action, status):
+    assert encode_outcome(action)[0] == status
+
+
+def test_retry_after_is_told_in_whole_seconds():
+    action = AnswerCaller(outcome=Outcome.NOT_RUN, retry_after_ms=1_200.0)
+    assert encode_outcome(action)[2] == (("Retry-After", "2"),)
--- /dev/null
+++ b/tests/serving/test_http_client.py
@@ -0,0 +1,73 @@
+"""Calls over kept connections: what was certainly not sent, what may have arrived."""
+
+import asyncio
+
+import pytest
+
+from buckthornshift.contracts import ConnectionLostError, NotSentError
+from buckthornshift.serving._http_client import HttpPool
+from buckthornshift.serving._http_server import HttpServer
+
+
+async def call_server(handler, n_calls=1, timeout_s=0.2):
+    server = HttpServer(handler=handler)
+    port = await server.start("127.0.0.1", 0)
+    pool = HttpPool(port=port)
+    try:
+        return [
+            await pool.call("POST", "/", b"x", timeout_s=timeout_s)
+            for _ in range(n_calls)
+        ]
+    finally:
+        pool.close()
+        server.close()
+
+
+def test_a_closed_port_proves_that_nothing_was_sent():
+    with pytest.raises(NotSentError):
+        asyncio.run(HttpPool(port=1).call("GET", "/"))
+
+
+def test_no_answer_in_time_leaves_the_outcome_open():
+    with pytest.raises(ConnectionLostError):
+        asyncio.run(call_server(lambda exchange: None))
+
+
+def test_a_connection_is_kept():
+    seen = set()
+
+    def answer(exchange):
+        seen.add(exchange.connection)
+        exchange.respond(200)
+
+    asyncio.run(call_server(answer, n_calls=3))
+    assert len(seen) == 1
+
+
+def test_a_broken_connection_leaves_the_outcome_open():
+    with pytest.raises(ConnectionLostError):
+        asyncio.run(call_server(lambda exchange: exchange.connection.close()))
+
+
+def test_a_late_answer_is_not_taken_for_the_next_call():
+    async def run():
+        held = []
+
+        def answer(exchange):
+            if exchange.request.path == "/slow":
+                held.append(exchange)
+                return
+            exchange.respond(200, b"quick")
+
+        server = HttpServer(handler=answer)
+        port = await server.start("127.0.0.1", 0)
+        pool = HttpPool(port=port)
+        with pytest.raises(ConnectionLostError):
+            await pool.call("GET", "/slow", timeout_s=0.05)
+        held[0].respond(200, b"slow")
+        result = await pool.call("GET", "/quick")
+        pool.close()
+        server.close()
+        return result
+
+    assert asyncio.run(run()) == (200, b"quick")
