--- a/buckthornshift/cli/_main.py
+++ b/buckthornshift/cli/_main.py
@@ -8,6 +8,7 @@
 
 _MODULE_BY_COMMAND = {
     "serve": "_serve",
+    "dispatch": "_dispatch",
     "submit": "_jobs",
     "cancel": "_jobs",
     "state": "_jobs",
--- a/buckthornshift/dispatch/_admission.py
+++ b/buckthornshift/dispatch/_admission.py
@@ -4,6 +4,11 @@
 
 from ._peer_messages import EndReason
 
+# Below this wait a job is always taken: the estimate is no better than that.
+MIN_SLACK_MS = 20.0
+# A job that no listed server holds may fit a server of the next nightly upgrade.
+INFEASIBLE_RETRY_MS = 1_000.0
+
 
 @attrs.frozen(kw_only=True)
 class JobRefusal:
@@ -20,7 +25,12 @@
 
 
 class Admission:
-    """Refuse at once what can't be done in time.
+    """Refuse at once what can't be done by its latency objective.
+
+    Answers the pattern of sustained overload. Taking everything that its caller
+    would wait for lets the queue grow until every answer is late; taking what can
+    meet its objective serves as many in time as there is room for, and tells the
+    others at once when to come back.
 
     :param context: the shared :class:`DispatchContext`.
     :param fleet: the :class:`Fleet`.
@@ -36,51 +46,57 @@
         :param job: the new job.
         :param open_jobs: jobs that have no outcome.
         """
-        settings = self.context.settings
+        context = self.context
         for step in job.spec.steps:
             if not self.fleet.can_ever_run(job.queue.service, step):
                 return JobRefusal(
                     reason=EndReason.INFEASIBLE,
                     detail=f"no server holds {step.need} {step.required_label}",
-                    retry_after_ms=1_000.0,
+                    retry_after_ms=INFEASIBLE_RETRY_MS,
                 )
-        wait_ms = self.estimate_wait_ms(job, open_jobs)
-        slack_ms = job.deadline_ms - self.context.now_ms - job.chain_ms
-        if wait_ms > max(0.0, slack_ms):
+        need_cpu = max(1, max(step.need.cpu for step in job.spec.steps))
+        ahead = self._list_ahead(job, open_jobs)
+        n_free = self.fleet.count_free_slots(job.queue.service, need_cpu)
+        if sum(len(other.waiting_by_name) for other in ahead) < n_free:
+            return None
+        wait_ms = self._estimate_wait_ms(job, ahead, need_cpu)
+        slack_ms = max(MIN_SLACK_MS, job.latest_start_ms - context.now_ms)
+        if wait_ms > slack_ms:
             return JobRefusal(
                 reason=EndReason.OVERLOADED,
                 detail=f"expected wait {wait_ms:.0f} ms, slack {slack_ms:.0f} ms",
-                retry_after_ms=max(settings.min_retry_after_ms, wait_ms),
+                retry_after_ms=max(context.settings.min_retry_after_ms, wait_ms),
             )
         return None
 
-    def estimate_wait_ms(self, job, open_jobs):
-        """Return how long a job would wait for its start.
-
-        :param job: the job.
-        :param open_jobs: jobs that have no outcome.
-        """
-        capacity = sum(
-            server.record.capacity.cpu
-            for server in self.fleet.iter_open(job.queue.service)
-        )
-        if capacity == 0:
-            return 0.0
-        key = rank_job(job, self.context.now_ms)
-        work = sum(
-            other.waiting_work
+    def _list_ahead(self, job, open_jobs):
+        """Return the jobs of a service that start before a job."""
+        now_ms = self.context.now_ms
+        key = rank_job(job, now_ms)
+        return [
+            other
             for other in open_jobs
-            if other.queue.service == job.queue.service
-            and rank_job(other, self.context.now_ms) <= key
-        )
-        return work / capacity
+            if other.waiting_by_name
+            and other.queue.service == job.queue.service
+            and rank_job(other, now_ms) <= key
+        ]
+
+    def _estimate_wait_ms(self, job, ahead, need_cpu):
+        n_slots = self.fleet.count_slots(job.queue.service, need_cpu)
+        if n_slots == 0:
+            return 0.0
+        work = sum(other.waiting_work for other in ahead)
+        return work / (need_cpu * n_slots)
 
 
 def rank_job(job, now_ms):
-    """Return the order in which jobs start: by latest useful start, late ones last.
+    """Return the order in which jobs start.
+
+    Those that can still meet their objective come first; among them the operators'
+    priority decides, then the latest useful start.
 
     :param job: the :class:`Job`.
     :param now_ms: the current time.
     """
     is_late = now_ms > job.latest_start_ms
-    return (is_late, job.latest_start_ms, job.queue.priority)
+    return (is_late, job.queue.priority, job.latest_start_ms)
--- a/buckthornshift/dispatch/_declarations.py
+++ b/buckthornshift/dispatch/_declarations.py
@@ -175,12 +175,17 @@
         """Return the name under which servers know a task of this job."""
         return f"{self.job_id}.0.{step}.{index}"
 
-    def compute_chain_ms(self):
-        """Return the estimated duration of the longest chain of steps."""
+    def compute_chain_ms(self, n_slots=0):
+        """Return the estimated duration of the longest chain of steps.
+
+        :param n_slots: tasks that its service holds at once; a step that is wider
+            than a quarter of them counts as several in a row. 0 if not known.
+        """
         ends_ms = []
         for step in self.steps:
             ready_ms = max((ends_ms[i] for i in step.after), default=0.0)
-            ends_ms.append(ready_ms + step.estimate_ms)
+            n_waves = max(1.0, 4.0 * step.n_tasks / n_slots) if n_slots else 1.0
+            ends_ms.append(ready_ms + n_waves * step.estimate_ms)
         return max(ends_ms, default=0.0)
 
     def compute_work_ms(self):
--- a/buckthornshift/dispatch/_fleet.py
+++ b/buckthornshift/dispatch/_fleet.py
@@ -173,6 +173,31 @@
             if server.record.service == service and self.is_open(server):
                 yield server
 
+    def count_slots(self, service, need_cpu):
+        """Return how many tasks of a size the servers of a service hold.
+
+        Servers that are still being taken over count: they are open in a moment.
+
+        :param service: the service.
+        :param need_cpu: what one task needs, in thousandths of a core.
+        """
+        return sum(
+            server.record.capacity.cpu // need_cpu
+            for server in self.by_id.values()
+            if server.record.service == service
+            and server.is_reachable
+            and server.unlisted_ms is None
+            and not server.record.is_draining
+        )
+
+    def count_free_slots(self, service, need_cpu):
+        """Return how many tasks of a size the open servers have room for now.
+
+        :param service: the service.
+        :param need_cpu: what one task needs, in thousandths of a core.
+        """
+        return sum(server.free.cpu // need_cpu for server in self.iter_open(service))
+
     def count_owned(self):
         """Return how many servers this instance owns."""
         return sum(s.ownership is Ownership.OWNED for s in self.by_id.values())
--- a/buckthornshift/dispatch/_jobs.py
+++ b/buckthornshift/dispatch/_jobs.py
@@ -103,7 +103,7 @@
     :param arrived_ms: when the caller's request arrived.
     :param deadline_ms: when the caller stops to wait.
     :param objective_ms: when its latency objective ends.
-    :param chain_ms: estimated duration of its longest chain of steps.
+    :param chain_ms: expected duration of its longest chain of steps.
     :param tasks: its tasks, by step and index.
     :param waiting_by_name: those that wait for a server.
     :param waiters: who waits for it.
@@ -185,22 +185,25 @@
                 self.set_phase(task, TaskPhase.WAITING)
 
 
-def build_job(message, now_ms):
+def build_job(message, now_ms, ratio=1.0, n_slots=0):
     """Build a job from a submission.
 
     :param message: the :class:`SubmitJob`.
     :param now_ms: the current time.
+    :param ratio: factor on the estimates of its queue.
+    :param n_slots: like tasks that its service holds at once; 0 if not known.
     """
     spec = message.job
     queue = message.queue
-    chain_ms = spec.compute_chain_ms()
+    estimated_ms = spec.compute_chain_ms(n_slots)
+    chain_ms = ratio * spec.compute_chain_ms()
     arrived_ms = now_ms - message.waited_ms
     job = Job(
         spec=spec,
         queue=queue,
         arrived_ms=arrived_ms,
         deadline_ms=now_ms + message.left_ms,
-        objective_ms=arrived_ms + queue.stretch * chain_ms + queue.target_ms,
+        objective_ms=arrived_ms + queue.stretch * estimated_ms + queue.target_ms,
         chain_ms=chain_ms,
         is_resent=message.is_resent,
         n_unfinished=[step.n_tasks for step in spec.steps],
--- a/buckthornshift/dispatch/_owner_jobs.py
+++ b/buckthornshift/dispatch/_owner_jobs.py
@@ -1,6 +1,7 @@
 """Jobs that the owner has: submissions, duplicates, ends."""
 
 from ._actions import LogCode, SendPeer
+from ._durations import Durations
 from ._events import PeerReceived
 from ._internal import (
     ClaimEnded,
@@ -30,6 +31,7 @@
         self.election = election
         self.admission = admission
         self.runs = None
+        self.durations = Durations()
         self.by_id = {}
         self._ended_by_waiter = {}
         self._deadline_timer_by_id = {}
@@ -151,7 +153,6 @@
             self.return_job(job)
 
     def _submit(self, waiter, message):
-        context = self.context
         if waiter in self._ended_by_waiter:
             self._send(waiter, self._ended_by_waiter[waiter][1])
             return
@@ -166,7 +167,7 @@
             )
             self._send(waiter, ended)
             return
-        job = build_job(message, context.now_ms)
+        job = self._build(message)
         job.waiters.append(waiter)
         refusal = self.admission.check(job, self.list_open())
         if refusal is not None:
@@ -174,6 +175,16 @@
             return
         self._accept(job)
 
+    def _build(self, message):
+        queue = message.queue
+        need_cpu = max(1, max(step.need.cpu for step in message.job.steps))
+        return build_job(
+            message,
+            self.context.now_ms,
+            ratio=self.durations.get_ratio(queue.name),
+            n_slots=self.fleet.count_slots(queue.service, need_cpu),
+        )
+
     def _accept(self, job):
         context = self.context
         self.by_id[job.job_id] = job
--- a/buckthornshift/dispatch/_placing.py
+++ b/buckthornshift/dispatch/_placing.py
@@ -3,8 +3,11 @@
 from ._admission import rank_job
 from ._peer_messages import EndReason
 
-# Part of its estimate that a job needs at least; most take longer.
+# Part of its expected duration that a job needs at least; 19 of 20 take longer.
 SHORTEST_RUN_FRACTION = 0.5
+# What is left of a wait, once the objective is missed, before a job that has not
+# begun is given back: a part of the time that its caller would still wait.
+LATE_PATIENCE = 0.25
 
 
 class Placing:
@@ -42,11 +45,7 @@
         rooms_by_service = {}
         for job in jobs:
             if self._is_hopeless(job):
-                self.jobs.give_up(
-                    job,
-                    EndReason.OVERLOADED,
-                    self.context.settings.min_retry_after_ms,
-                )
+                self._give_up(job)
                 continue
             service = job.queue.service
             room = rooms_by_service.get(service)
@@ -54,12 +53,24 @@
                 room = _Room(list(self.fleet.iter_open(service)))
                 rooms_by_service[service] = room
             self._start_tasks(job, room)
+            if self._is_patience_over(job):
+                self._give_up(job)
+
+    def _give_up(self, job):
+        retry_after_ms = self.context.settings.min_retry_after_ms
+        self.jobs.give_up(job, EndReason.OVERLOADED, retry_after_ms)
 
     def _is_hopeless(self, job):
-        if job.may_have_run:
-            return False
-        shortest_ms = SHORTEST_RUN_FRACTION * job.chain_ms
-        return self.context.now_ms + shortest_ms > job.deadline_ms
+        """Return whether a job that has not begun can't end by its deadline."""
+        last_ms = job.deadline_ms - SHORTEST_RUN_FRACTION * job.chain_ms
+        return not job.may_have_run and self.context.now_ms > last_ms
+
+    def _is_patience_over(self, job):
+        """Return whether a job has missed its objective and still found no room."""
+        last_ms = job.deadline_ms - SHORTEST_RUN_FRACTION * job.chain_ms
+        late_ms = max(0.0, last_ms - job.latest_start_ms)
+        patience_ms = job.latest_start_ms + LATE_PATIENCE * late_ms
+        return not job.may_have_run and self.context.now_ms > patience_ms
 
     def _start_tasks(self, job, room):
         for task in list(job.waiting_by_name.values()):
--- a/buckthornshift/dispatch/_runs.py
+++ b/buckthornshift/dispatch/_runs.py
@@ -97,9 +97,12 @@
     def stop(self, server, run):
         """Order a server to stop a run."""
         context = self.context
+        if run.phase is not RunPhase.STOPPING:
+            context.log(
+                LogCode.TASK_STOPPED, run.name, server=server.id, run=run.number
+            )
         run.phase = RunPhase.STOPPING
         context.counters.n_stops += 1
-        context.log(LogCode.TASK_STOPPED, run.name, server=server.id, run=run.number)
         context.emit(
             StopRun(
                 server=server.record, token=server.token, task=run.name, run=run.number
@@ -368,8 +371,11 @@
     def _learn(self, server, run):
         server.n_failures = 0
         estimate_ms = run.task.spec.estimate_ms
+        actual_ms = self.context.now_ms - run.sent_ms
+        queue = run.task.job.queue
+        self.jobs.durations.note(queue.name, estimate_ms, actual_ms)
         if estimate_ms > 0:
-            ratio = (self.context.now_ms - run.sent_ms) / estimate_ms
+            ratio = actual_ms / estimate_ms
             server.slowness += SLOWNESS_GAIN * (ratio - server.slowness)
 
     def _count_failure(self, server, task):
--- a/buckthornshift/dispatch/_settings.py
+++ b/buckthornshift/dispatch/_settings.py
@@ -74,7 +74,7 @@
     call_timeout_ms: float = 250.0
     retry_ms: float = 100.0
     silent_after_ms: float = 500.0
-    adopt_ms: float = 300.0
+    adopt_ms: float = 200.0
     ended_kept_ms: float = 3_000.0
     unlisted_grace_ms: float = 2_500.0
     stalled_after_ms: float = 600.0
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -15,7 +15,17 @@
 
 @pytest.mark.parametrize(
     "command",
-    ["serve", "submit", "cancel", "state", "catalogue", "standin", "demo", "fuzz"],
+    [
+        "serve",
+        "dispatch",
+        "submit",
+        "cancel",
+        "state",
+        "catalogue",
+        "standin",
+        "demo",
+        "fuzz",
+    ],
 )
 def test_every_command_has_help(command):
     result = run(command, "--help")
@@ -38,6 +48,28 @@
     assert "Traceback" not in result.output
 
 
+def test_settings_of_dispatching_instances_are_checked(tmp_path):
+    path = tmp_path / "dispatcher.jsonc"
+    path.write_text('{"zone": "z" /* here */}')
+    assert run("dispatch", "--check", str(path)).exit_code == 0
+    path.write_text('{"callers": "here"}')
+    result = run("dispatch", "--check", str(path))
+    assert result.exit_code == 2
+    assert "callers" in result.output
+
+
+def test_fuzz_runs_dispatching_instances():
+    result = run("fuzz", "--on", "fleet", "--seeds", "1", "--output", "json")
+    assert result.exit_code == 0
+    assert json.loads(result.output)["counts"]["n_starts"] > 0
+
+
+def test_fuzz_names_the_faults_that_it_knows():
+    result = run("fuzz", "--on", "fleet", "--fault", "log_slow")
+    assert result.exit_code == 2
+    assert "owner_death" in result.output
+
+
 def test_catalogue_errors_name_file_and_path(tmp_path):
     path = tmp_path / "c.jsonc"
     path.write_text('{"entries": {"x": {"owner": "nobody"}}}')
--- a/tools/make_settings_page.py
+++ b/tools/make_settings_page.py
@@ -7,13 +7,17 @@
 
 from buckthornshift.contracts import EntrySpec, OwnerSpec
 from buckthornshift.core import CoreSettings
+from buckthornshift.dispatch import DispatchSettings
 from buckthornshift.instances import Address, EntrySettings
+from buckthornshift.serving import ServingSettings
 
 PAGE = pathlib.Path(__file__).parent.parent / "docs" / "settings.md"
 HEAD = """# Settings
 
 Settings of an entry instance are JSON with comments; `examples/entry.jsonc` is a
-start. `buckthornshift serve --check FILE` checks a file. Unknown keys and bad values
+start. `buckthornshift serve --check FILE` checks a file. A dispatching instance on the
+platform has settings of its own (`deploy/settings.jsonc` is their template there;
+`buckthornshift dispatch --check FILE` checks a file). Unknown keys and bad values
 are errors that name the key. This page is written by `tools/make_settings_page.py`; a
 test holds it equal to the code. Times are in milliseconds unless a key says otherwise.
 """
@@ -21,10 +25,12 @@
     ("Entry instance", EntrySettings),
     ("`callers`, `peers`, `platform`", Address),
     ("`core`", CoreSettings),
+    ("Dispatching instance", ServingSettings),
+    ("`dispatch`", DispatchSettings),
     ("Catalogue: an owner", OwnerSpec),
     ("Catalogue: an entry", EntrySpec),
 )
-SECTION_KEYS = ("callers", "peers", "platform", "core", "policy")
+SECTION_KEYS = ("platform", "core", "dispatch", "policy")
 
 
 def parse_params(docstring):
@@ -39,7 +45,7 @@
 
 def render_default(name, field):
     """Return the default of a field as it would be written in a file."""
-    if name in SECTION_KEYS:
+    if name in SECTION_KEYS or attrs.has(type(field.default)):
         return "see below" if name != "policy" else "not settable"
     if isinstance(field.default, bool):
         return str(field.default).lower()
