ENH Expect the wait for a start from what runs and when it ends

Now the n-th slot to become free decides, from the expected ends of the runs. A job of a former owner is not refused.

--- a/buckthornshift/dispatch/_admission.py
+++ b/buckthornshift/dispatch/_admission.py
@@ -6,6 +6,8 @@
 
 # Below this wait a job is always taken: the estimate is no better than that.
 MIN_SLACK_MS = 20.0
+# What is left of a run that takes longer than expected, as a part of that.
+OVERDUE_FRACTION = 0.2
 # A job that no listed server holds may fit a server of the next nightly upgrade.
 INFEASIBLE_RETRY_MS = 1_000.0
 
@@ -34,11 +36,13 @@
 
     :param context: the shared :class:`DispatchContext`.
     :param fleet: the :class:`Fleet`.
+    :param durations: the :class:`Durations`.
     """
 
-    def __init__(self, context=None, fleet=None):
+    def __init__(self, context=None, fleet=None, durations=None):
         self.context = context
         self.fleet = fleet
+        self.durations = durations
 
     def check(self, job, open_jobs):
         """Return a :class:`JobRefusal`, or ``None`` for a job that is taken.
@@ -54,12 +58,16 @@
                     detail=f"no server holds {step.need} {step.required_label}",
                     retry_after_ms=INFEASIBLE_RETRY_MS,
                 )
+        if job.is_resent:
+            # Part of its work may be done already: it is not wasted by a refusal.
+            return None
         need_cpu = max(1, max(step.need.cpu for step in job.spec.steps))
-        ahead = self._list_ahead(job, open_jobs)
+        n_ahead = self._count_ahead(job, open_jobs)
         n_free = self.fleet.count_free_slots(job.queue.service, need_cpu)
-        if sum(len(other.waiting_by_name) for other in ahead) < n_free:
+        if n_ahead < n_free:
             return None
-        wait_ms = self._estimate_wait_ms(job, ahead, need_cpu)
+        n_first = job.spec.steps[0].n_tasks
+        wait_ms = self._estimate_wait_ms(job, n_ahead + n_first - n_free)
         slack_ms = max(MIN_SLACK_MS, job.latest_start_ms - context.now_ms)
         if wait_ms > slack_ms:
             return JobRefusal(
@@ -69,24 +77,51 @@
             )
         return None
 
-    def _list_ahead(self, job, open_jobs):
-        """Return the jobs of a service that start before a job."""
+    def _count_ahead(self, job, open_jobs):
+        """Return how many tasks of a service start before a job's."""
         now_ms = self.context.now_ms
         key = rank_job(job, now_ms)
-        return [
-            other
+        return sum(
+            len(other.waiting_by_name)
             for other in open_jobs
             if other.waiting_by_name
             and other.queue.service == job.queue.service
             and rank_job(other, now_ms) <= key
-        ]
+        )
+
+    def _estimate_wait_ms(self, job, n_needed):
+        """Return when a number of slots will have become free.
+
+        What runs now frees its slots first, one after the other; beyond that the
+        slots turn over at the pace of what runs.
 
-    def _estimate_wait_ms(self, job, ahead, need_cpu):
-        n_slots = self.fleet.count_slots(job.queue.service, need_cpu)
-        if n_slots == 0:
+        :param job: the job.
+        :param n_needed: slots needed beyond those that are free.
+        """
+        left_ms = sorted(self._list_left_ms(job.queue.service))
+        if not left_ms:
             return 0.0
-        work = sum(other.waiting_work for other in ahead)
-        return work / (need_cpu * n_slots)
+        if n_needed <= len(left_ms):
+            return left_ms[max(0, n_needed - 1)]
+        n_rounds = n_needed / len(left_ms)
+        return n_rounds * max(left_ms[-1], job.chain_ms)
+
+    def _list_left_ms(self, service):
+        """Return how long each run of a service is expected to go on."""
+        now_ms = self.context.now_ms
+        left_ms = []
+        for server in self.fleet.by_id.values():
+            if server.record.service != service or not server.is_reachable:
+                continue
+            for run in server.run_by_name.values():
+                if run.task is None:
+                    continue
+                queue_name = run.task.job.queue.name
+                ratio = self.durations.get_ratio(queue_name)
+                expected_ms = ratio * run.task.spec.estimate_ms
+                shortest_ms = OVERDUE_FRACTION * expected_ms
+                left_ms.append(max(shortest_ms, expected_ms - (now_ms - run.sent_ms)))
+        return left_ms
 
 
 def rank_job(job, now_ms):
--- a/buckthornshift/dispatch/_core.py
+++ b/buckthornshift/dispatch/_core.py
@@ -6,6 +6,7 @@
 from ._admission import Admission
 from ._context import DispatchContext
 from ._declarations import Configuration
+from ._durations import Durations
 from ._election import Election
 from ._events import ConfigurationRead, PeerReceived, StopRequested, TimeAdvanced
 from ._fleet import Fleet
@@ -111,12 +112,16 @@
         self.membership = Membership(context=context)
         self.election = Election(context=context, membership=self.membership)
         self.fleet = Fleet(context=context)
-        self.admission = Admission(context=context, fleet=self.fleet)
+        self.durations = Durations()
+        self.admission = Admission(
+            context=context, fleet=self.fleet, durations=self.durations
+        )
         self.jobs = OwnerJobs(
             context=context,
             fleet=self.fleet,
             election=self.election,
             admission=self.admission,
+            durations=self.durations,
         )
         self.runs = RunBook(context=context, fleet=self.fleet, jobs=self.jobs)
         self.holding = Holding(
--- a/buckthornshift/dispatch/_owner_jobs.py
+++ b/buckthornshift/dispatch/_owner_jobs.py
@@ -1,7 +1,6 @@
 """Jobs that the owner has: submissions, duplicates, ends."""
 
 from ._actions import LogCode, SendPeer
-from ._durations import Durations
 from ._events import PeerReceived
 from ._internal import (
     ClaimEnded,
@@ -23,15 +22,18 @@
     :param fleet: the :class:`Fleet`.
     :param election: the :class:`Election`.
     :param admission: the :class:`Admission`.
+    :param durations: the :class:`Durations`.
     """
 
-    def __init__(self, context=None, fleet=None, election=None, admission=None):
+    def __init__(
+        self, context=None, fleet=None, election=None, admission=None, durations=None
+    ):
         self.context = context
         self.fleet = fleet
         self.election = election
         self.admission = admission
+        self.durations = durations
         self.runs = None
-        self.durations = Durations()
         self.by_id = {}
         self._ended_by_waiter = {}
         self._deadline_timer_by_id = {}
--- a/tests/docs/test_pages.py
+++ b/tests/docs/test_pages.py
@@ -7,6 +7,8 @@
 
 from buckthornshift.contracts import Reason
 from buckthornshift.core import EventCode, Invariant
+from buckthornshift.dispatch import LogCode
+from buckthornshift.proving.fleet import FleetRule
 
 ROOT = pathlib.Path(__file__).parent.parent.parent
 DOCS = ROOT / "docs"
@@ -29,12 +31,14 @@
     rows = re.findall(
         r"^\| (\d{4}) \| (\w+) \|", (DOCS / "EVENTS.md").read_text(), re.M
     )
-    assert rows == [(str(code.value), code.name) for code in EventCode]
+    codes = [*EventCode, *LogCode]
+    assert rows == [(str(code.value), code.name) for code in codes]
 
 
 def test_every_event_is_used():
     text = "\n".join(path.read_text() for path in SOURCE.rglob("*.py"))
     unused = [code.name for code in EventCode if f"EventCode.{code.name}" not in text]
+    unused += [code.name for code in LogCode if f"LogCode.{code.name}" not in text]
     assert not unused
 
 
@@ -43,6 +47,11 @@
     assert not [name for name in Invariant if f"`{name.value}`" not in text]
 
 
+def test_rules_of_dispatching_are_on_the_page():
+    text = (DOCS / "INVARIANTS.md").read_text()
+    assert not [rule for rule in FleetRule if f"`{rule.value}`" not in text]
+
+
 def test_reasons_are_documented_and_used():
     text = (DOCS / "protocols" / "callers.md").read_text()
     source = "\n".join(path.read_text() for path in SOURCE.rglob("*.py"))
