--- a/buckthornshift/dispatch/_holding.py
+++ b/buckthornshift/dispatch/_holding.py
@@ -43,6 +43,7 @@
         self.election = election
         self.runs = runs
         self._shared_ms = -1e9
+        self._is_yielding = False
         election.has_servers = lambda: bool(fleet.by_id)
         election.list_held = self.list_held
         election.count_owned = fleet.count_owned
@@ -64,11 +65,15 @@
 
     def list_held(self):
         """Return the servers that this instance holds without owning the claim."""
-        return [
+        if not self._is_yielding:
+            return []
+        held_ids = [
             server.id
             for server in self.fleet.by_id.values()
             if server.ownership is Ownership.YIELDING
         ]
+        self._is_yielding = bool(held_ids)
+        return held_ids
 
     def on_claim_begun(self, message):
         """Take every server, but those that a former owner still holds."""
@@ -83,6 +88,7 @@
         for server in self.fleet.by_id.values():
             if server.ownership is Ownership.OWNED and not server.is_idle:
                 server.ownership = Ownership.YIELDING
+                self._is_yielding = True
             elif server.ownership is not Ownership.YIELDING:
                 self._abandon(server, Ownership.NONE)
         self.membership.beat_now()
@@ -385,6 +391,8 @@
             context.emit(ForgetServer(server_id=server.id))
 
     def _check_complete(self):
+        if self.election.is_claim_complete:
+            return
         is_complete = all(
             server.ownership is Ownership.OWNED
             for server in self.fleet.by_id.values()
--- a/buckthornshift/dispatch/_membership.py
+++ b/buckthornshift/dispatch/_membership.py
@@ -12,7 +12,6 @@
 from ._internal import BeatDue, PeerLost
 from ._peer_messages import Beat, ConfigurationShared
 
-ADDRESSES_EVERY_BEATS = 10
 FORGET_AFTER_MS = 10_000.0
 SHARE_AGAIN_MS = 1_000.0
 
@@ -30,6 +29,7 @@
     :param dialled_ms: when the connection was last asked for.
     :param found_ms: when its address became known.
     :param shared_ms: when the configuration was last given to it.
+    :param n_told: number of addresses that it was last told.
     :param is_live: whether it is in contact.
     """
 
@@ -42,6 +42,7 @@
     dialled_ms: float = -1e9
     found_ms: float = 0.0
     shared_ms: float = -1e9
+    n_told: int = -1
     is_live: bool = False
 
     @property
@@ -65,7 +66,7 @@
         self.by_address = {}
         self.describe_claim = lambda: {}
         self.is_owner = lambda: False
-        self._n_ticks = 0
+        self._has_owner = False
 
     def subscribe(self):
         """Return handlers by message class."""
@@ -99,7 +100,8 @@
         """Beat at once on a new connection, so that contact begins."""
         peer = self.by_address.get(event.address)
         if peer is not None:
-            self._beat(peer, has_addresses=True)
+            peer.n_told = -1
+            self._beat(peer)
 
     def on_received(self, event):
         """Take note of the sender, and of its beat."""
@@ -114,20 +116,21 @@
     def on_beat_due(self, message):
         """Beat to those that are due, and judge who is lost."""
         context = self.context
-        self._n_ticks += 1
         context.start_timer(context.settings.beat_ms, BeatDue())
-        has_addresses = self._n_ticks % ADDRESSES_EVERY_BEATS == 0
+        claim = self.describe_claim()
+        self._has_owner = any(p.beat.claim_term for p in self.list_live())
         for peer in list(self.by_address.values()):
             self._judge(peer)
             self._redial_if_silent(peer)
             interval_ms = self._choose_interval(peer) - context.settings.beat_ms / 2
             if context.now_ms - peer.beaten_ms >= interval_ms:
-                self._beat(peer, has_addresses)
+                self._beat(peer, claim)
 
     def beat_now(self):
         """Beat to everyone at once, for news that others wait for."""
+        claim = self.describe_claim()
         for peer in self.by_address.values():
-            self._beat(peer)
+            self._beat(peer, claim)
 
     def _add(self, address):
         context = self.context
@@ -225,29 +228,26 @@
         is_close = (
             self.is_owner()
             or peer.beat.claim_term
-            or not self._knows_owner()
+            or not self._has_owner
             or not peer.is_live
         )
         return settings.beat_ms if is_close else settings.idle_beat_ms
 
     def _choose_patience(self, peer):
         settings = self.context.settings
-        is_idle_pair = not peer.beat.claim_term and not self.describe_claim().get(
-            "claim_term", 0
-        )
+        is_idle_pair = not peer.beat.claim_term and not self.is_owner()
         extra_ms = settings.idle_beat_ms if is_idle_pair else 0.0
         return settings.lost_after_ms + extra_ms
 
-    def _knows_owner(self):
-        return any(p.is_live and p.beat.claim_term for p in self.by_address.values())
-
-    def _beat(self, peer, has_addresses=False):
+    def _beat(self, peer, claim=None):
         context = self.context
         identity = context.identity
         peer.beaten_ms = context.now_ms
         addresses = ()
-        if has_addresses or not peer.is_live:
-            addresses = tuple(p.address for p in self.list_live())
+        live = self.list_live()
+        if len(live) != peer.n_told or not peer.is_live:
+            peer.n_told = len(live)
+            addresses = tuple(p.address for p in live)
         beat = Beat(
             sent_ms=context.now_ms,
             echo_ms=peer.beat.sent_ms if peer.heard_ms is not None else -1.0,
@@ -258,6 +258,6 @@
             config_version=context.configuration.version,
             is_leaving=context.is_stopping,
             addresses=addresses,
-            **self.describe_claim(),
+            **(claim or self.describe_claim()),
         )
         context.emit(SendPeer(address=peer.address, message=beat))
--- a/buckthornshift/dispatch/_peer_messages.py
+++ b/buckthornshift/dispatch/_peer_messages.py
@@ -24,7 +24,7 @@
     :param is_eligible: whether it could own the servers.
     :param is_leaving: whether it is stopping.
     :param held_ids: servers that a former owner has not released yet.
-    :param addresses: addresses of the instances that it knows; sent now and then.
+    :param addresses: instances that it is in contact with; empty if told before.
     """
 
     sent_ms: float = 0.0
