--- a/buckthornshift/dispatch/_election.py
+++ b/buckthornshift/dispatch/_election.py
@@ -179,10 +179,19 @@
     def _is_candidate(self):
         own = self._own_rank()
         return not any(
-            peer.beat.is_eligible and not peer.beat.is_leaving and peer.rank > own
+            self._may_claim(peer) and peer.rank > own
             for peer in self.membership.list_live()
         )
 
+    def _may_claim(self, peer):
+        """Return whether another instance could claim the servers now."""
+        beat = peer.beat
+        # One that has just begun still waits; after a loss of all, nobody would
+        # claim before the last of them has settled.
+        age_ms = self.context.wall_ms - beat.born_ms
+        is_settled = age_ms >= self.context.settings.settle_ms
+        return beat.is_eligible and not beat.is_leaving and is_settled
+
     def _begin_claim(self):
         context = self.context
         by_clock = int(context.wall_ms / 1000.0) - TERM_EPOCH_S
--- a/buckthornshift/dispatch/_settings.py
+++ b/buckthornshift/dispatch/_settings.py
@@ -65,7 +65,7 @@
     idle_beat_ms: float = 500.0
     lost_after_ms: float = 450.0
     redial_after_ms: float = 300.0
-    settle_ms: float = 500.0
+    settle_ms: float = 400.0
     election_wait_ms: float = 100.0
     lease_ms: float = 700.0
     hold_wait_ms: float = 250.0
