FEA Stand-in of the platform over HTTP; soak of the real programs under faults from outside

buckthornshift soak starts dispatching instances as processes, kills, stops and pauses them by their ids, cuts and slows their path to the store, silences servers, changes the configuration, and checks what callers and servers see.

--- a/buckthornshift/cli/_main.py
+++ b/buckthornshift/cli/_main.py
@@ -16,6 +16,7 @@
     "standin": "_standin",
     "demo": "_demo",
     "fuzz": "_fuzz",
+    "soak": "_soak",
     "load": "_load",
 }
 
--- /dev/null
+++ b/buckthornshift/cli/_soak.py
@@ -0,0 +1,47 @@
+"""The ``soak`` command: real processes under faults from outside."""
+
+import asyncio
+
+import attrs
+import click
+
+from ..proving.soak import Soak
+from ._output import ExitCode, echo_json, output_option
+
+
+@click.command()
+@click.option("--seed", "first_seed", default=0, show_default=True, help="First seed.")
+@click.option("--seeds", "n_seeds", default=1, show_default=True, help="Seeds.")
+@click.option("--seconds", default=10.0, show_default=True, help="Length of each run.")
+@click.option("--instances", default=3, show_default=True)
+@click.option("--servers", default=6, show_default=True)
+@click.option("--jobs-per-s", default=15.0, show_default=True)
+@output_option
+def soak(first_seed, n_seeds, seconds, instances, servers, jobs_per_s, output):
+    """Run real processes on loopback, kill, stop and pause them, and check.
+
+    A seed decides jobs and faults; the machine's own timing differs from run to run.
+    Exit code 7 if a promise was broken; the folder of the logs is printed.
+    """
+    n_broken = 0
+    for seed in range(first_seed, first_seed + n_seeds):
+        run = Soak(
+            seed=seed,
+            seconds=seconds,
+            n_instances=instances,
+            n_servers=servers,
+            jobs_per_s=jobs_per_s,
+        )
+        report = asyncio.run(run.run())
+        n_broken += bool(report.violations)
+        if output == "json":
+            echo_json(attrs.asdict(report))
+            continue
+        click.echo(
+            f"seed {seed}: {report.n_jobs} jobs, answers {report.n_by_status}, "
+            f"faults {report.n_by_fault}, {len(report.violations)} violations, "
+            f"logs in {report.folder}"
+        )
+        for violation in report.violations:
+            click.echo(f"  {violation}", err=True)
+    raise SystemExit(int(ExitCode.VIOLATION if n_broken else ExitCode.OK))
--- a/buckthornshift/proving/fleet/_oracle.py
+++ b/buckthornshift/proving/fleet/_oracle.py
@@ -170,12 +170,8 @@
     def check_end(self):
         """Check everything that can be told only at the end."""
         for seen in self.by_job.values():
+            self.check_job(seen)
             job_id = seen.spec.job_id
-            if seen.n_open:
-                self._fail(FleetRule.ONE_ANSWER, f"{job_id} has no answer")
-            is_refused = all(a is Outcome.NOT_RUN for a in seen.answers)
-            if seen.answers and is_refused and seen.is_begun:
-                self._fail(FleetRule.NOT_RUN_IS_TRUE, job_id)
             is_served = Outcome.COMPLETED in seen.answers or self._is_poisoned(seen)
             if seen.is_last_batch and not is_served:
                 self._fail(FleetRule.RECOVERED, f"{job_id}: {seen.answers}")
@@ -183,6 +179,18 @@
             self._fail(FleetRule.ORPHAN_STOPPED, f"{task} runs on {server_id}")
         self._check_idle()
 
+    def check_job(self, seen):
+        """Check the answers of one job.
+
+        :param seen: the :class:`SeenJob`.
+        """
+        job_id = seen.spec.job_id
+        if seen.n_open:
+            self._fail(FleetRule.ONE_ANSWER, f"{job_id} has no answer")
+        is_refused = all(a is Outcome.NOT_RUN for a in seen.answers)
+        if seen.answers and is_refused and seen.is_begun:
+            self._fail(FleetRule.NOT_RUN_IS_TRUE, job_id)
+
     def _is_poisoned(self, seen):
         return any(n >= seen.queue.max_attempts for n in seen.failed_by_task.values())
 
@@ -210,10 +218,12 @@
         if not is_right:
             self._fail(FleetRule.RIGHT_SERVER, f"{run.task} on {server.server_id}")
         known_ms = self.drain_known_ms_by_server.get(server.server_id)
+        if known_ms is None:
+            return
         now_ms = self.world.clock.now_ms
         # Holds for instances that run and read the store without trouble.
         is_calm = now_ms > self.world.last_trouble_ms + CONTACT_MS
-        if known_ms is not None and is_calm and now_ms > known_ms + DRAIN_MS:
+        if is_calm and now_ms > known_ms + DRAIN_MS:
             self._fail(FleetRule.DRAINING, f"{run.task} on {server.server_id}")
 
     def _check_idle(self):
--- /dev/null
+++ b/buckthornshift/proving/soak/_instances.py
@@ -0,0 +1,144 @@
+"""Dispatching instances as real processes, ended only by their ids."""
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import sys
+
+import attrs
+
+RESTART_S = 0.3
+EXIT_PATIENCE_S = 8.0
+
+
+def find_free_ports(n_ports):
+    """Return TCP ports of loopback that are free now."""
+    sockets = [socket.socket() for _ in range(n_ports)]
+    for sock in sockets:
+        sock.bind(("127.0.0.1", 0))
+    ports = [sock.getsockname()[1] for sock in sockets]
+    for sock in sockets:
+        sock.close()
+    return ports
+
+
+@attrs.define(kw_only=True, eq=False)
+class Instance:
+    """One instance: its ports, its settings, and the process that runs now.
+
+    :param name: its name.
+    :param ports: for callers, readiness, peers and metrics.
+    :param settings_path: path of its settings.
+    :param log_path: path of its log.
+    :param process: the process, or ``None``.
+    :param n_lives: counts its processes.
+    :param is_stopping: whether it was asked to stop.
+    """
+
+    name: str = ""
+    ports: list = attrs.field(factory=list)
+    settings_path: str = ""
+    log_path: str = ""
+    process: object = None
+    n_lives: int = 0
+    is_stopping: bool = False
+
+    @property
+    def is_up(self):
+        """Whether its process runs."""
+        return self.process is not None and self.process.returncode is None
+
+
+class InstanceGroup:
+    """Instances on loopback.
+
+    :param n_instances: how many.
+    :param folder: folder for settings and logs.
+    :param store: ``host:port`` of the store.
+    """
+
+    def __init__(self, n_instances=3, folder="", store=""):
+        self.n_instances = n_instances
+        self.folder = folder
+        self.store = store
+        self.by_name = {}
+        self._watchers = set()
+        self._is_closing = False
+
+    async def start(self):
+        """Write the settings and start every process."""
+        ports = find_free_ports(4 * self.n_instances)
+        seeds = [f"127.0.0.1:{ports[4 * i + 2]}" for i in range(self.n_instances)]
+        for index in range(self.n_instances):
+            instance = self._make(index, ports[4 * index : 4 * index + 4], seeds)
+            self.by_name[instance.name] = instance
+            await self.start_one(instance)
+
+    async def start_one(self, instance):
+        """Start a process of an instance."""
+        instance.n_lives += 1
+        instance.is_stopping = False
+        with open(instance.log_path, "ab") as log:
+            instance.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "buckthornshift.serving",
+                instance.settings_path,
+                stdout=log,
+                stderr=log,
+            )
+        watcher = asyncio.ensure_future(self._watch(instance))
+        self._watchers.add(watcher)
+        watcher.add_done_callback(self._watchers.discard)
+
+    def send(self, instance, number):
+        """Send a signal to the process of an instance, if it runs."""
+        if instance.is_up:
+            os.kill(instance.process.pid, number)
+
+    async def close(self):
+        """End every process that this group started."""
+        self._is_closing = True
+        for instance in self.by_name.values():
+            self.send(instance, signal.SIGCONT)
+            self.send(instance, signal.SIGTERM)
+        for instance in self.by_name.values():
+            if instance.process is None:
+                continue
+            try:
+                async with asyncio.timeout(EXIT_PATIENCE_S):
+                    await instance.process.wait()
+            except TimeoutError:
+                self.send(instance, signal.SIGKILL)
+                await instance.process.wait()
+
+    async def _watch(self, instance):
+        await instance.process.wait()
+        await asyncio.sleep(RESTART_S)
+        if not self._is_closing:
+            await self.start_one(instance)
+
+    def _make(self, index, ports, seeds):
+        name = f"dispatcher-{index}"
+        callers, readiness, peers, metrics = (f"127.0.0.1:{port}" for port in ports)
+        settings = {
+            "name": name,
+            "zone": "zone-a",
+            "callers": callers,
+            "readiness": readiness,
+            "peers": peers,
+            "metrics": metrics,
+            "store": self.store,
+            "seeds": seeds,
+        }
+        settings_path = os.path.join(self.folder, f"{name}.jsonc")
+        with open(settings_path, "w", encoding="utf-8") as file:
+            json.dump(settings, file)
+        return Instance(
+            name=name,
+            ports=ports,
+            settings_path=settings_path,
+            log_path=os.path.join(self.folder, f"{name}.log"),
+        )
--- a/buckthornshift/serving/_http_client.py
+++ b/buckthornshift/serving/_http_client.py
@@ -81,14 +81,14 @@
         return connection
 
     def _render(self, method, target, body, headers):
-        lines = [
-            f"{method} {target} HTTP/1.1",
-            f"Host: {self.host}:{self.port}",
-            f"Content-Length: {len(body)}",
-        ]
+        all_headers = {"Host": f"{self.host}:{self.port}"}
         if body:
-            lines.append("Content-Type: application/json")
-        lines += [f"{name}: {value}" for name, value in (*self.headers, *headers)]
+            all_headers["Content-Type"] = "application/json"
+        all_headers.update(self.headers)
+        all_headers.update(headers)
+        all_headers["Content-Length"] = str(len(body))
+        lines = [f"{method} {target} HTTP/1.1"]
+        lines += [f"{name}: {value}" for name, value in all_headers.items()]
         return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + body
 
 
--- a/buckthornshift/serving/_http_server.py
+++ b/buckthornshift/serving/_http_server.py
@@ -42,12 +42,14 @@
 
     :param method: HTTP method.
     :param path: path without the query.
+    :param query: the query, undecoded.
     :param header_by_name: headers; names in lower case.
     :param body: its body.
     """
 
     method: str = ""
     path: str = ""
+    query: str = ""
     header_by_name: dict = attrs.field(factory=dict)
     body: bytes = b""
 
@@ -202,9 +204,11 @@
     def on_message_complete(self):
         if self._is_ending:
             return
+        path, _, query = self._url.partition(b"?")
         request = Request(
             method=self._parser.get_method().decode("latin-1"),
-            path=self._url.partition(b"?")[0].decode("latin-1"),
+            path=path.decode("latin-1"),
+            query=query.decode("latin-1"),
             header_by_name=self._header_by_name,
             body=bytes(self._body),
         )
--- a/buckthornshift/standins/__init__.py
+++ b/buckthornshift/standins/__init__.py
@@ -2,6 +2,7 @@
 
 from ._backend_model import BackendFaults, BackendModel
 from ._backend_server import BackendStandin, BackendStandinSettings
+from ._fleet_platform import FleetPlatform
 from ._platform_model import ListModel, LogModel, PlatformFaults
 from ._platform_server import PlatformStandin, PlatformStandinSettings
 from ._task_server import TaskServerFaults, TaskServerModel
@@ -11,6 +12,7 @@
     "BackendModel",
     "BackendStandin",
     "BackendStandinSettings",
+    "FleetPlatform",
     "ListModel",
     "LogModel",
     "PlatformFaults",
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -25,6 +25,7 @@
         "standin",
         "demo",
         "fuzz",
+        "soak",
     ],
 )
 def test_every_command_has_help(command):
