ENH An overdue start goes elsewhere soon; suspects get one task at a time, slow servers last

Now the wait follows the answers' times (RFC 6298), a look beside the waiting renewal proves the stop, and only a silent server is suspected. A suspected server gets a single task as a trial; servers whose runs take twice the mean are used last. Tests in tests/dispatch.

--- a/buckthornshift/dispatch/_fleet.py
+++ b/buckthornshift/dispatch/_fleet.py
@@ -34,6 +34,8 @@
     :param clock_read_ms: when that was read.
     :param leased_until_ms: when the last lease given has lapsed for certain.
     :param hold_sent_ms: when the renewal in flight was sent, or ``None``.
+    :param look_sent_ms: when a look beside that was sent, or ``None``.
+    :param listed_ms: when the youngest listing that was read had been asked for.
     :param answered_ms: when the server last answered.
     :param is_reachable: whether it answers.
     :param unlisted_ms: when its entry vanished, or ``None``.
@@ -55,6 +57,8 @@
     clock_read_ms: float = 0.0
     leased_until_ms: float = 0.0
     hold_sent_ms: float | None = None
+    look_sent_ms: float | None = None
+    listed_ms: float = -1.0
     answered_ms: float = 0.0
     is_reachable: bool = True
     unlisted_ms: float | None = None
--- a/buckthornshift/dispatch/_holding.py
+++ b/buckthornshift/dispatch/_holding.py
@@ -176,6 +176,25 @@
             )
         )
 
+    def look(self, server):
+        """Read a server's list at once, though a renewal may wait there."""
+        context = self.context
+        if server.hold_sent_ms is None:
+            self.hold(server)
+            return
+        if server.look_sent_ms is not None or server.hold_sent_ms == context.now_ms:
+            return
+        server.look_sent_ms = context.now_ms
+        context.counters.n_holds += 1
+        context.emit(
+            HoldServer(
+                server=server.record,
+                token=server.token,
+                sent_ms=context.now_ms,
+                last_acked=server.last_acked,
+            )
+        )
+
     def grant_lease(self, server):
         """Return the end of a new lease on the server's clock, and remember it."""
         context = self.context
@@ -187,9 +206,17 @@
     def on_hold_answered(self, event):
         """Take over what runs and what ended."""
         server = self.fleet.by_id.get(event.server_id)
-        if server is None or event.sent_ms != server.hold_sent_ms:
+        if server is None:
+            return
+        if event.sent_ms == server.look_sent_ms:
+            server.look_sent_ms = None
+            if event.verdict is not Verdict.DONE:
+                # The renewal beside it tells what is wrong, if anything is.
+                return
+        elif event.sent_ms == server.hold_sent_ms:
+            server.hold_sent_ms = None
+        else:
             return
-        server.hold_sent_ms = None
         if event.token != server.token:
             return
         match event.verdict:
@@ -292,7 +319,10 @@
         self._note_answer(server, event.clock_ms)
         if server.ownership is Ownership.CLAIMING:
             self._finish_take(server, event)
-        self.runs.read_running(server, event)
+        if event.sent_ms >= server.listed_ms:
+            # A look may overtake a renewal that waited; its listing is younger.
+            server.listed_ms = event.sent_ms
+            self.runs.read_running(server, event)
         for ended in event.ended:
             if ended.number > server.last_acked:
                 server.last_acked = ended.number
@@ -370,7 +400,7 @@
     def _abandon(self, server, ownership):
         """Give up all claims on a server; its runs are no longer ours to tell of."""
         server.ownership = ownership
-        server.hold_sent_ms = None
+        server.hold_sent_ms = server.look_sent_ms = None
         server.token = 0
         self.runs.lose_all(server, None)
 
--- a/buckthornshift/dispatch/_internal.py
+++ b/buckthornshift/dispatch/_internal.py
@@ -116,6 +116,20 @@
     server_id: str = ""
 
 
+@attrs.frozen(kw_only=True)
+class StartOverdue:
+    """Timer: a start should have been answered by now.
+
+    :param server_id: the server.
+    :param task: name of the task.
+    :param run: number of the run.
+    """
+
+    server_id: str = ""
+    task: str = ""
+    run: int = 0
+
+
 @attrs.frozen(kw_only=True)
 class StopRetryDue:
     """Timer: order a stop again that got no answer.
--- a/buckthornshift/dispatch/_placing.py
+++ b/buckthornshift/dispatch/_placing.py
@@ -5,6 +5,9 @@
 
 # Part of its expected duration that a job needs at least; 19 of 20 take longer.
 SHORTEST_RUN_FRACTION = 0.5
+# A server whose runs take this many times as long as the mean is used last; kinds of
+# servers differ by less than half.
+SLOW_FACTOR = 2.0
 # What is left of a wait, once the objective is missed, before a job that has not
 # begun is given back: a part of the time that its caller would still wait.
 LATE_PATIENCE = 0.25
@@ -81,14 +84,28 @@
                 self.runs.start(task, server)
 
     def _choose(self, task, room):
-        fitting = [s for s in room.servers if s.free.covers(task.spec.need)]
+        fitting = [
+            server
+            for server in room.servers
+            if server.free.covers(task.spec.need) and self._is_trusted(server)
+        ]
         if not fitting:
             room.note_full(task.spec.need)
             return None
         allowed = [s for s in fitting if _is_allowed(task, s)]
-        return min(allowed, key=lambda s: self._rank(task, s), default=None)
+        return min(allowed, key=lambda s: self._rank(task, s, room), default=None)
 
-    def _rank(self, task, server):
+    def _is_trusted(self, server):
+        """Return whether a server may get one more task.
+
+        Answers the pattern of servers that hang or fail what they start while they
+        look sound: one that is suspected gets a single task at a time, as a trial,
+        until one ends well.
+        """
+        is_suspect = server.suspect_until_ms > self.context.now_ms
+        return not is_suspect or server.is_idle
+
+    def _rank(self, task, server, room):
         spec = task.spec
         is_far = bool(spec.data_rack) and spec.data_rack not in server.record.labels
         is_suspect = server.suspect_until_ms > self.context.now_ms
@@ -96,6 +113,7 @@
             server.id in task.avoided_ids,
             is_suspect,
             is_far,
+            server.slowness > SLOW_FACTOR * room.mean_slowness,
             server.free.cpu - spec.need.cpu,
             server.slowness,
         )
@@ -109,6 +127,8 @@
 
     def __init__(self, servers):
         self.servers = [s for s in servers if s.clock_offset_ms is not None]
+        total = sum(server.slowness for server in self.servers)
+        self.mean_slowness = total / max(1, len(self.servers))
         self._full_cpu = float("inf")
 
     def may_fit(self, need):
--- a/buckthornshift/dispatch/_runs.py
+++ b/buckthornshift/dispatch/_runs.py
@@ -2,8 +2,15 @@
 
 from ._actions import LogCode, StartRun, StopRun
 from ._events import EndKind, StartAnswered, StopAnswered, Verdict
-from ._internal import HousekeepingDue, RunGone, ServersChanged, StopRetryDue
+from ._internal import (
+    HousekeepingDue,
+    RunGone,
+    ServersChanged,
+    StartOverdue,
+    StopRetryDue,
+)
 from ._jobs import Run, RunPhase, TaskPhase
+from ._patience import AnswerPatience
 from ._peer_messages import EndReason
 
 # Steps over numbers of runs that a server has seen from a former owner.
@@ -31,6 +38,7 @@
         self.fleet = fleet
         self.jobs = jobs
         self.holding = None
+        self.patience = AnswerPatience(most_ms=context.settings.call_timeout_ms)
         self._open_by_name = {}
         self._done_by_name = {}
         self._lost_server_by_name = {}
@@ -40,6 +48,7 @@
         """Return handlers by message class."""
         return {
             StartAnswered: self.on_start_answered,
+            StartOverdue: self.on_start_overdue,
             StopAnswered: self.on_stop_answered,
             StopRetryDue: self.on_stop_retry,
             HousekeepingDue: self.on_housekeeping,
@@ -93,6 +102,10 @@
                 lease_end_ms=self.holding.grant_lease(server),
             )
         )
+        context.start_timer(
+            self.patience.get_ms(),
+            StartOverdue(server_id=server.id, task=task.name, run=run.number),
+        )
 
     def stop(self, server, run):
         """Order a server to stop a run."""
@@ -124,6 +137,7 @@
         if event.clock_ms is not None:
             server.read_clock(event.clock_ms, self.context.now_ms)
             server.answered_ms = self.context.now_ms
+            self.patience.note(self.context.now_ms - run.sent_ms)
         match event.verdict:
             case Verdict.DONE:
                 self._note_running(server, run)
@@ -132,6 +146,16 @@
             case _:
                 self._note_rejected(server, run, event.verdict)
 
+    def on_start_overdue(self, message):
+        """Stop a start whose answer is overdue, so that it can go elsewhere.
+
+        Answers the pattern of orders that are carried out late: the stop bars the
+        run, and the task starts on another server once that is acknowledged.
+        """
+        server, run = self._find(message)
+        if run is not None and run.phase is RunPhase.STARTING:
+            self._note_unanswered(server, run)
+
     def on_stop_answered(self, event):
         """Take what a server said to a stop order."""
         context = self.context
@@ -141,7 +165,7 @@
         match event.verdict:
             case Verdict.DONE:
                 run.stop_acked_ms = context.now_ms
-                self.holding.hold(server)
+                self.holding.look(server)
             case Verdict.FENCED:
                 self.holding.lose_to_other(server)
             case _:
@@ -322,7 +346,9 @@
         context.log(
             LogCode.START_UNANSWERED, run.name, server=server.id, run=run.number
         )
-        self._suspect(server, "unanswered")
+        silent_ms = context.now_ms - server.answered_ms
+        if silent_ms > context.settings.call_timeout_ms:
+            self._suspect(server, "silent")
         run.task.avoided_ids.add(server.id)
         self.stop(server, run)
 
@@ -370,6 +396,7 @@
 
     def _learn(self, server, run):
         server.n_failures = 0
+        server.suspect_until_ms = 0.0
         estimate_ms = run.task.spec.estimate_ms
         actual_ms = self.context.now_ms - run.sent_ms
         queue = run.task.job.queue
--- a/buckthornshift/proving/soak/_instances.py
+++ b/buckthornshift/proving/soak/_instances.py
@@ -35,6 +35,7 @@
     :param process: the process, or ``None``.
     :param n_lives: counts its processes.
     :param is_stopping: whether it was asked to stop.
+    :param is_disturbed: whether it was killed or paused in this life.
     """
 
     name: str = ""
@@ -44,6 +45,7 @@
     process: object = None
     n_lives: int = 0
     is_stopping: bool = False
+    is_disturbed: bool = False
 
     @property
     def is_up(self):
@@ -79,7 +81,7 @@
     async def start_one(self, instance):
         """Start a process of an instance."""
         instance.n_lives += 1
-        instance.is_stopping = False
+        instance.is_stopping = instance.is_disturbed = False
         with open(instance.log_path, "ab") as log:
             instance.process = await asyncio.create_subprocess_exec(
                 sys.executable,
@@ -95,6 +97,8 @@
 
     def send(self, instance, number):
         """Send a signal to the process of an instance, if it runs."""
+        if number in (signal.SIGKILL, signal.SIGSTOP):
+            instance.is_disturbed = True
         if instance.is_up:
             os.kill(instance.process.pid, number)
 
--- a/buckthornshift/proving/soak/_soak.py
+++ b/buckthornshift/proving/soak/_soak.py
@@ -182,7 +182,10 @@
             )
         except (NotSentError, ConnectionLostError):
             self.oracle.note_lost_request(job)
-            if instance.is_up and instance.is_stopping:
+            # A stop that is not disturbed answers everything; one that is killed or
+            # paused half-way can't (seed 106).
+            is_calm = instance.is_up and not instance.is_disturbed
+            if is_calm and instance.is_stopping:
                 self._break(FleetRule.STOP_CUTS_NOTHING, job.job_id)
             return 0
         finally:
--- /dev/null
+++ b/tests/dispatch/test_placing.py
@@ -0,0 +1,262 @@
+"""Where tasks go: servers that hang, fail or are slow; order under overload."""
+
+import random
+
+import pytest
+
+from buckthornshift.dispatch import (
+    Configuration,
+    ConfigurationRead,
+    DispatchCore,
+    DispatchIdentity,
+    EndedTask,
+    EndKind,
+    HoldAnswered,
+    HoldServer,
+    JobArrived,
+    JobSpec,
+    LogCode,
+    LogLine,
+    Outcome,
+    Queue,
+    Resources,
+    RunningTask,
+    ServerRecord,
+    ServersRead,
+    StartAnswered,
+    StartRun,
+    StepSpec,
+    StopAnswered,
+    StopRun,
+    TimeAdvanced,
+    Verdict,
+)
+from buckthornshift.dispatch._actions import AnswerCaller
+
+NEED = Resources(cpu=6_000, memory_mb=64)
+URGENT = Queue(name="urgent", service="s", priority=0, max_attempts=3, stretch=1.6)
+PATIENT = Queue(name="patient", service="s", priority=2, max_attempts=3, stretch=1.6)
+
+
+class Owner:
+    """A core that owns servers, with its answers given by hand."""
+
+    def __init__(self, n_servers=2, slots=2):
+        self.now_ms = 0.0
+        self.actions = []
+        self.n_ended = {}
+        self.core = DispatchCore(
+            identity=DispatchIdentity(address="a:1", incarnation=1),
+            random_state=random.Random(1),
+        )
+        self.take(self.core.start(0.0, 1.8e12))
+        capacity = Resources(cpu=NEED.cpu * slots, memory_mb=1_000)
+        self.feed(
+            ConfigurationRead(
+                configuration=Configuration(version=1, queues=(URGENT, PATIENT))
+            )
+        )
+        self.feed(
+            ServersRead(
+                servers=tuple(
+                    ServerRecord(server_id=f"s{i}", service="s", capacity=capacity)
+                    for i in range(n_servers)
+                )
+            )
+        )
+        self.pass_time(700.0)
+
+    def take(self, actions):
+        for action in actions:
+            self.actions.append(action)
+            if isinstance(action, HoldServer) and not action.wait_ms:
+                self.answer_hold(action)
+
+    def answer_hold(self, action, running=(), ended=()):
+        self.feed(
+            HoldAnswered(
+                server_id=action.server.server_id,
+                token=action.token,
+                sent_ms=action.sent_ms,
+                clock_ms=int(self.now_ms),
+                running=running,
+                ended=ended,
+            )
+        )
+
+    def feed(self, event):
+        self.take(self.core.handle(event, self.now_ms, 1.8e12 + self.now_ms))
+
+    def pass_time(self, ms):
+        end_ms = self.now_ms + ms
+        while self.now_ms < end_ms:
+            self.now_ms = min(end_ms, self.now_ms + 50.0)
+            self.feed(TimeAdvanced())
+
+    def submit(self, number, n_tasks=1, queue=URGENT, run_ms=100.0):
+        step = StepSpec(n_tasks=n_tasks, need=NEED, estimate_ms=run_ms)
+        job = JobSpec(job_id=f"{number:016x}", payload="p", steps=(step,))
+        self.feed(
+            JobArrived(caller_ref=number, job=job, queue=queue, timeout_ms=3_000.0)
+        )
+
+    def pop(self, cls):
+        found = [a for a in self.actions if isinstance(a, cls)]
+        self.actions = [a for a in self.actions if not isinstance(a, cls)]
+        return found
+
+    def accept(self, start):
+        self.feed(
+            StartAnswered(
+                server_id=start.server.server_id, task=start.task, run=start.run
+            )
+        )
+
+    def list_server(self, server_id, running=(), ended=()):
+        hold = [a for a in self.pop(HoldServer) if a.server.server_id == server_id][-1]
+        self.answer_hold(hold, running, ended)
+
+    def end(self, start, kind=EndKind.DONE):
+        server_id = start.server.server_id
+        number = self.n_ended[server_id] = self.n_ended.get(server_id, 0) + 1
+        ended = EndedTask(number=number, task=start.task, run=start.run, kind=kind)
+        self.list_server(server_id, ended=(ended,))
+
+
+@pytest.fixture
+def owner():
+    return Owner()
+
+
+def test_a_job_is_answered_when_its_last_task_is_done(owner):
+    owner.submit(1, n_tasks=2)
+    starts = owner.pop(StartRun)
+    assert len(starts) == 2
+    for start in starts:
+        owner.accept(start)
+    owner.end(starts[0])
+    assert not owner.pop(AnswerCaller)
+    owner.end(starts[1])
+    (answer,) = owner.pop(AnswerCaller)
+    assert answer.outcome is Outcome.COMPLETED
+
+
+def test_tasks_fill_a_server_before_the_next():
+    owner = Owner(n_servers=3, slots=2)
+    owner.submit(1, n_tasks=2)
+    assert len({start.server.server_id for start in owner.pop(StartRun)}) == 1
+
+
+def test_a_server_that_hangs_gets_one_task_at_a_time():
+    """Pattern: a server stands still on all that it starts, and its health is good."""
+    owner = Owner(n_servers=1, slots=3)
+    owner.submit(1, n_tasks=1)
+    (start,) = owner.pop(StartRun)
+    owner.accept(start)
+    listed = RunningTask(task=start.task, run=start.run, percent=0.0)
+    for _ in range(16):
+        owner.pass_time(50.0)
+        if any(isinstance(a, HoldServer) for a in owner.actions):
+            owner.list_server("s0", running=(listed,))
+    assert owner.pop(StopRun)
+    owner.end(start, EndKind.STOPPED)
+    owner.submit(2, n_tasks=3)
+    assert len(owner.pop(StartRun)) == 1
+
+
+def test_a_suspected_server_is_trusted_again_after_one_good_end():
+    owner = Owner(n_servers=1, slots=3)
+    owner.core.fleet.by_id["s0"].suspect_until_ms = 1e9
+    owner.submit(1, n_tasks=3)
+    (trial,) = owner.pop(StartRun)
+    owner.accept(trial)
+    owner.end(trial)
+    assert len(owner.pop(StartRun)) == 2
+
+
+def test_a_slow_server_is_used_last():
+    """Pattern: runs on some servers take several times as long."""
+    owner = Owner(n_servers=3, slots=1)
+    owner.core.fleet.by_id["s0"].slowness = 6.0
+    owner.submit(1, n_tasks=2)
+    assert {s.server.server_id for s in owner.pop(StartRun)} == {"s1", "s2"}
+    owner.submit(2, n_tasks=1)
+    assert {s.server.server_id for s in owner.pop(StartRun)} == {"s0"}
+
+
+def test_a_failed_task_goes_to_another_server(owner):
+    owner.submit(1, n_tasks=1)
+    (first,) = owner.pop(StartRun)
+    owner.accept(first)
+    owner.end(first, EndKind.FAILED)
+    (second,) = owner.pop(StartRun)
+    assert second.server.server_id != first.server.server_id
+    assert second.run > first.run
+
+
+def test_declared_priority_comes_first_under_overload():
+    """Pattern: more comes than there is room for."""
+    owner = Owner(n_servers=1, slots=1)
+    owner.submit(1)
+    (running,) = owner.pop(StartRun)
+    owner.accept(running)
+    owner.submit(2, queue=PATIENT, run_ms=150.0)
+    owner.submit(3, queue=URGENT, run_ms=150.0)
+    owner.end(running)
+    assert [start.task[:16] for start in owner.pop(StartRun)] == [f"{3:016x}"]
+
+
+def test_what_can_not_meet_its_objective_is_refused_at_once():
+    owner = Owner(n_servers=1, slots=1)
+    owner.submit(1, run_ms=1_000.0)
+    owner.pop(StartRun)
+    owner.submit(2, run_ms=100.0)
+    (answer,) = owner.pop(AnswerCaller)
+    assert answer.outcome is Outcome.NOT_RUN
+    assert answer.retry_after_ms >= 200.0
+    lines = [a for a in owner.pop(LogLine) if a.code is LogCode.JOB_REFUSED]
+    assert "expected wait" in lines[-1].fields["detail"]
+
+
+def test_an_order_without_an_answer_keeps_its_room(owner):
+    owner.submit(1)
+    (start,) = owner.pop(StartRun)
+    server = owner.core.fleet.by_id[start.server.server_id]
+    free_cpu = server.free.cpu
+    owner.feed(
+        StartAnswered(
+            server_id=server.id,
+            task=start.task,
+            run=start.run,
+            verdict=Verdict.NO_ANSWER,
+        )
+    )
+    assert owner.pop(StopRun)
+    assert server.free.cpu == free_cpu
+    assert not owner.pop(StartRun)
+
+
+def test_an_overdue_start_is_stopped_and_goes_elsewhere(owner):
+    """Pattern: some orders get no answer and are carried out seconds later."""
+    owner.submit(1)
+    (start,) = owner.pop(StartRun)
+    owner.pass_time(300.0)
+    (stop,) = owner.pop(StopRun)
+    assert (stop.task, stop.run) == (start.task, start.run)
+    assert not owner.pop(StartRun)
+    owner.pop(HoldServer)
+    owner.now_ms += 1.0
+    owner.feed(
+        StopAnswered(server_id=start.server.server_id, task=stop.task, run=stop.run)
+    )
+    (second,) = owner.pop(StartRun)
+    assert second.server.server_id != start.server.server_id
+
+
+def test_an_unanswered_start_alone_does_not_make_a_server_suspect(owner):
+    owner.submit(1)
+    (start,) = owner.pop(StartRun)
+    server = owner.core.fleet.by_id[start.server.server_id]
+    server.answered_ms = owner.now_ms + 200.0
+    owner.pass_time(300.0)
+    assert server.suspect_until_ms == 0.0
