--- a/buckthornshift/dispatch/_core.py
+++ b/buckthornshift/dispatch/_core.py
@@ -12,7 +12,13 @@
 from ._fleet import Fleet
 from ._holding import Holding
 from ._homes import Homes
-from ._internal import BeatDue, HousekeepingDue, RunGone, ServersChanged
+from ._internal import (
+    BeatDue,
+    HousekeepingDue,
+    PauseNoticed,
+    RunGone,
+    ServersChanged,
+)
 from ._membership import Membership
 from ._owner_jobs import OwnerJobs
 from ._peer_messages import ConfigurationShared
@@ -198,12 +204,22 @@
 
     def _fire_timers(self):
         context = self.context
+        self._notice_pause()
         message = context.timers.pop_due(context.now_ms)
         while message is not None:
             self._deliver(message)
             self._deliver_posted()
             message = context.timers.pop_due(context.now_ms)
 
+    def _notice_pause(self):
+        """Tell the parts of a pause before anything that came in it is handled."""
+        context = self.context
+        due_ms = context.timers.find_next_due()
+        late_ms = 0.0 if due_ms is None else context.now_ms - due_ms
+        if late_ms > context.settings.lost_after_ms:
+            self._deliver(PauseNoticed(late_ms=late_ms))
+            self._deliver_posted()
+
     def _run(self):
         context = self.context
         self._deliver_posted()
--- a/buckthornshift/dispatch/_election.py
+++ b/buckthornshift/dispatch/_election.py
@@ -11,6 +11,7 @@
     ClaimBegun,
     ClaimEnded,
     OwnerChanged,
+    PauseNoticed,
     PeerLost,
 )
 
@@ -51,6 +52,7 @@
         self.count_owned = lambda: 0
         self._highest_term = 0
         self._ownerless_since_ms = None
+        self._settled_ms = None
         membership.describe_claim = self.describe
         membership.is_owner = lambda: self.is_owner
 
@@ -59,6 +61,7 @@
         return {
             BeatDue: self.on_tick,
             PeerLost: self.on_tick,
+            PauseNoticed: self.on_pause,
             StopRequested: self.on_stop,
         }
 
@@ -104,6 +107,24 @@
         self._follow(None, 0, False)
         self._claim_if_due()
 
+    def on_pause(self, message):
+        """Give the claim up, and listen before claiming again.
+
+        What came in the pause is handled next: orders under the old claim, or a
+        higher one, would run beside those of whoever took over.
+        """
+        context = self.context
+        context.log(
+            LogCode.PAUSE_NOTICED,
+            context.identity.address,
+            late_ms=round(message.late_ms),
+            term=self.term,
+        )
+        self._settled_ms = context.now_ms + context.settings.settle_ms
+        if self.is_owner:
+            self._end_claim()
+            self._follow(None, 0, False)
+
     def on_stop(self, event):
         """Give the servers up before a stop."""
         if self.is_owner:
@@ -169,7 +190,9 @@
         settings = context.settings
         if self._ownerless_since_ms is None:
             self._ownerless_since_ms = context.now_ms
-        is_settled = context.now_ms - context.started_ms >= settings.settle_ms
+        if self._settled_ms is None:
+            self._settled_ms = context.started_ms + settings.settle_ms
+        is_settled = context.now_ms >= self._settled_ms
         waited_ms = context.now_ms - self._ownerless_since_ms
         if not is_settled or waited_ms < settings.election_wait_ms:
             return
--- a/buckthornshift/dispatch/_holding.py
+++ b/buckthornshift/dispatch/_holding.py
@@ -100,9 +100,24 @@
             self._share_list()
 
     def on_peer(self, event):
-        """Take over a list that the owner shares; see what a peer released."""
-        if isinstance(event.message, ServersShared) and not self.election.is_owner:
+        """Take over a list that the owner shares.
+
+        An owner adds what only a rival knows: something may run there.
+        """
+        if not isinstance(event.message, ServersShared):
+            return
+        if not self.election.is_owner:
             self._read_list(event.message.servers)
+            return
+        known = {record.server_id for record in self.fleet.records}
+        unknown = tuple(
+            record
+            for record in event.message.servers
+            if record.server_id not in known
+            and record.server_id not in self.fleet.by_id
+        )
+        if unknown:
+            self._read_list((*self.fleet.records, *unknown))
 
     def on_peer_lost(self, message):
         """Take the servers that a lost instance still held."""
@@ -271,7 +286,9 @@
     def _share_list(self):
         context = self.context
         self._shared_ms = context.now_ms
-        message = ServersShared(servers=self.fleet.records)
+        # Those whose entry vanished are told as well: something may run there.
+        known = tuple(server.record for server in self.fleet.by_id.values())
+        message = ServersShared(servers=known)
         for peer in self.membership.list_live():
             context.emit(SendPeer(address=peer.address, message=message))
 
@@ -283,7 +300,8 @@
                 self._take(server)
 
     def _take(self, server):
-        if not self.election.is_owner or server.unlisted_ms is not None:
+        # A server whose entry vanished is taken as well, for what it may run.
+        if not self.election.is_owner:
             return
         if server.ownership is Ownership.YIELDING:
             # Runs of an earlier claim of this instance: they go on under its token.
@@ -424,9 +442,7 @@
         if self.election.is_claim_complete:
             return
         is_complete = all(
-            server.ownership is Ownership.OWNED
-            for server in self.fleet.by_id.values()
-            if server.unlisted_ms is None
+            server.ownership is Ownership.OWNED for server in self.fleet.by_id.values()
         )
         if is_complete and self.fleet.by_id:
             self.election.note_claim_complete()
--- a/buckthornshift/dispatch/_internal.py
+++ b/buckthornshift/dispatch/_internal.py
@@ -27,6 +27,16 @@
     incarnation: int = 0
 
 
+@attrs.frozen(kw_only=True)
+class PauseNoticed:
+    """This process stood still; others may have replaced it meanwhile.
+
+    :param late_ms: by how much the first due timer is late.
+    """
+
+    late_ms: float = 0.0
+
+
 @attrs.frozen(kw_only=True)
 class OwnerChanged:
     """The owner that this instance knows of has changed, or its claim is complete."""
--- a/buckthornshift/dispatch/_stopping.py
+++ b/buckthornshift/dispatch/_stopping.py
@@ -6,6 +6,7 @@
 from ._peer_messages import EndReason
 
 STOP_STEP_MS = 50.0
+MAX_STEP_MS = 4.0 * STOP_STEP_MS
 
 
 class Stopping:
@@ -21,6 +22,7 @@
         self.homes = homes
         self.holding = holding
         self._asked_ms = None
+        self._step_ms = 0.0
 
     def subscribe(self):
         """Return handlers by message class."""
@@ -31,7 +33,7 @@
         context = self.context
         if self._asked_ms is not None:
             return
-        self._asked_ms = context.now_ms
+        self._asked_ms = self._step_ms = context.now_ms
         self.homes.last_answer_ms = context.now_ms + context.settings.stop_max_ms
         context.log(
             LogCode.STOPPING,
@@ -45,8 +47,14 @@
         context = self.context
         settings = context.settings
         waited_ms = context.now_ms - self._asked_ms
+        since_step_ms = context.now_ms - self._step_ms
+        self._step_ms = context.now_ms
         is_idle = not self.homes.by_key and not self.holding.list_held()
         is_over = waited_ms >= settings.stop_max_ms
+        if since_step_ms > MAX_STEP_MS:
+            # After a pause, requests may wait behind this step.
+            context.start_timer(STOP_STEP_MS, StopStepDue())
+            return
         if is_over or (is_idle and waited_ms >= settings.stop_min_ms):
             context.log(
                 LogCode.STOPPED,
--- a/buckthornshift/proving/fleet/_faults.py
+++ b/buckthornshift/proving/fleet/_faults.py
@@ -7,6 +7,8 @@
 LATE_SHARE = 0.05
 LOST_SHARE = 0.05
 BURST_FACTOR = 4.0
+LAPSED_SHARE = 0.4
+LAPSED_MS = 2_000.0
 LEAVING_SHARE = 0.4
 CLOCK_STEP_MS = 3_000.0
 # Faults in which an instance does not run or does not read the store.
@@ -88,6 +90,8 @@
             case FleetFault.STORE_AWAY:
                 world.is_store_away = True
                 self._later(fault, setattr, world, "is_store_away", False)
+            case FleetFault.ENTRIES_LAPSE:
+                self._lapse_entries(fault)
             case FleetFault.STORE_CUT:
                 self._hold_in(fault, world.store_cut_nodes, node.name)
             case FleetFault.ORDERS_LATE:
@@ -132,6 +136,18 @@
             case FleetFault.SERVER_CUT:
                 self._hold_in(fault, world.network.troubles.cut_servers, server.name)
 
+    def _lapse_entries(self, fault):
+        """Let entries vanish, as in an outage; they are back within two seconds."""
+        world = self.world
+        for server in list(world.servers_by_id.values()):
+            if world.random_state.random() < LAPSED_SHARE and server.is_listed:
+                server.is_listed = False
+                delay_ms = min(fault.length_ms, LAPSED_MS)
+                world.clock.schedule(delay_ms, self._list_again, server)
+
+    def _list_again(self, server):
+        server.is_listed = server.model is not None
+
     def _hold_in(self, fault, names, name):
         names.add(name)
         self._later(fault, names.discard, name)
--- a/buckthornshift/proving/fleet/_plan.py
+++ b/buckthornshift/proving/fleet/_plan.py
@@ -29,6 +29,7 @@
     SERVER_FAILS = "server_fails"
     SERVER_HANGS = "server_hangs"
     SERVER_CUT = "server_cut"
+    ENTRIES_LAPSE = "entries_lapse"
     ORDERS_LATE = "orders_late"
     ANSWERS_LOST = "answers_lost"
     CALLERS_LEAVE = "callers_leave"
--- a/tests/proving/fleet/test_fleet_seeds.py
+++ b/tests/proving/fleet/test_fleet_seeds.py
@@ -13,6 +13,8 @@
     36: "a job given back waited for a run that it had no part in",
     20143: "the same, after a freeze of the owner",
     30203: "the same, after cuts",
+    4400021: "a stopping instance ended before what came in a pause was read",
+    4400059: "the same",
 }
 
 
@@ -34,5 +36,29 @@
     assert result.violation is None, result.detail
 
 
+# Losses of owners while entries of servers vanish for a while.
+LAPSE_KINDS = [
+    FleetFault.ENTRIES_LAPSE,
+    FleetFault.OWNER_DEATH,
+    FleetFault.ALL_DIE,
+    FleetFault.ENTRIES_LAPSE,
+    FleetFault.OWNER_FREEZE,
+]
+LAPSE_SEEDS = {
+    14: "a new owner did not know a server that the former one used",
+    82: "the same",
+    167: "the same",
+    264: "the same",
+    184: "an owner that stood still worked off what came meanwhile",
+    203: "an owner did not share servers whose entries had vanished",
+}
+
+
+@pytest.mark.parametrize("seed", LAPSE_SEEDS, ids=str)
+def test_owner_lost_while_entries_vanish(seed):
+    result = run_fleet_seed(seed, kinds=LAPSE_KINDS, n_faults=6)
+    assert result.violation is None, result.detail
+
+
 def test_a_seed_repeats_exactly():
     assert run_fleet_seed(5) == run_fleet_seed(5)
