--- a/tests/proving/fleet/test_fleet_mutations.py
+++ b/tests/proving/fleet/test_fleet_mutations.py
@@ -189,7 +189,7 @@
     (
         resubmit_at_once,
         FleetRule.ONE_RUN,
-        [FleetFault.OWNER_FREEZE, FleetFault.SERVER_CUT],
+        [FleetFault.OWNER_DEATH, FleetFault.ENTRIES_LAPSE],
     ),
     (use_draining, FleetRule.DRAINING, [FleetFault.SERVER_DRAIN]),
     (use_any_service, FleetRule.RIGHT_SERVER, []),
