--- a/buckthornshift/dispatch/_admission.py
+++ b/buckthornshift/dispatch/_admission.py
@@ -4,8 +4,6 @@
 
 from ._peer_messages import EndReason
 
-# Below this wait a job is always taken: the estimate is no better than that.
-MIN_SLACK_MS = 20.0
 # What is left of a run that takes longer than expected, as a part of that.
 OVERDUE_FRACTION = 0.2
 # A job that no listed server holds may fit a server of the next nightly upgrade.
@@ -66,9 +64,12 @@
         n_free = self.fleet.count_free_slots(job.queue.service, need_cpu)
         if n_ahead < n_free:
             return None
-        n_first = job.spec.steps[0].n_tasks
-        wait_ms = self._estimate_wait_ms(job, n_ahead + n_first - n_free)
-        slack_ms = max(MIN_SLACK_MS, job.latest_start_ms - context.now_ms)
+        # Ends are known to within half of a run only: the second half of the tasks
+        # may start a little later and end in time all the same.
+        n_half = (job.spec.steps[0].n_tasks + 1) // 2
+        wait_ms = self._estimate_wait_ms(job, n_ahead + n_half - n_free)
+        # The estimate is no better than the constant part of the objective.
+        slack_ms = max(job.queue.target_ms, job.latest_start_ms - context.now_ms)
         if wait_ms > slack_ms:
             return JobRefusal(
                 reason=EndReason.OVERLOADED,
--- a/buckthornshift/dispatch/_placing.py
+++ b/buckthornshift/dispatch/_placing.py
@@ -71,8 +71,10 @@
     def _is_patience_over(self, job):
         """Return whether a job has missed its objective and still found no room."""
         last_ms = job.deadline_ms - SHORTEST_RUN_FRACTION * job.chain_ms
-        late_ms = max(0.0, last_ms - job.latest_start_ms)
-        patience_ms = job.latest_start_ms + LATE_PATIENCE * late_ms
+        # One that is expected to be late from the beginning has its patience, too.
+        missed_ms = max(job.latest_start_ms, job.arrived_ms)
+        late_ms = max(0.0, last_ms - missed_ms)
+        patience_ms = missed_ms + LATE_PATIENCE * late_ms
         return not job.may_have_run and self.context.now_ms > patience_ms
 
     def _start_tasks(self, job, room):
--- a/buckthornshift/serving/_logs.py
+++ b/buckthornshift/serving/_logs.py
@@ -9,6 +9,8 @@
 from ..dispatch import LogCode, LogLine
 
 MAX_WAITING_BYTES = 262_144
+# PIPE_BUF of Linux: a write of this size is not torn apart by others.
+CHUNK_BYTES = 4_096
 _ENCODER = msgspec.json.Encoder(enc_hook=str)
 
 
@@ -58,7 +60,7 @@
     def flush(self):
         """Write what waits, as far as the other end reads."""
         while self._waiting:
-            data = b"".join(self._waiting)
+            data = self._take_chunk()
             try:
                 n_written = os.write(self.fd, data)
             except BlockingIOError:
@@ -68,13 +70,20 @@
                 self._waiting.clear()
                 self._n_waiting_bytes = 0
                 return
-            self._waiting.clear()
-            rest = data[n_written:]
-            self._n_waiting_bytes = len(rest)
-            if rest:
-                self._waiting.append(rest)
+            self._n_waiting_bytes -= n_written
+            if n_written < len(data):
+                self._waiting.appendleft(data[n_written:])
                 return
 
+    def _take_chunk(self):
+        """Return whole lines that a pipe takes at once, or one longer line."""
+        lines = [self._waiting.popleft()]
+        n_bytes = len(lines[0])
+        while self._waiting and n_bytes + len(self._waiting[0]) <= CHUNK_BYTES:
+            lines.append(self._waiting.popleft())
+            n_bytes += len(lines[-1])
+        return b"".join(lines)
+
     def _emit(self, line):
         eliot.log_message(
             message_type=line.code.name.lower(),
--- a/tests/dispatch/test_placing.py
+++ b/tests/dispatch/test_placing.py
@@ -260,3 +260,16 @@
     server.answered_ms = owner.now_ms + 200.0
     owner.pass_time(300.0)
     assert server.suspect_until_ms == 0.0
+
+
+def test_a_job_that_is_late_from_the_beginning_waits_for_room():
+    """Pattern: tasks take longer than estimated; a calm moment without a free slot."""
+    owner = Owner(n_servers=1, slots=1)
+    owner.core.durations._ratio_by_queue["urgent"] = 3.0
+    owner.submit(1, run_ms=20.0)
+    (running,) = owner.pop(StartRun)
+    owner.accept(running)
+    owner.submit(2, run_ms=20.0)
+    assert not owner.pop(AnswerCaller)
+    owner.end(running)
+    assert owner.pop(StartRun)
--- a/tests/serving/test_logs.py
+++ b/tests/serving/test_logs.py
@@ -7,7 +7,11 @@
 import pytest
 
 from buckthornshift.dispatch import LogCode, LogLine
-from buckthornshift.serving._logs import MAX_WAITING_BYTES, BoundedLog
+from buckthornshift.serving._logs import (
+    CHUNK_BYTES,
+    MAX_WAITING_BYTES,
+    BoundedLog,
+)
 
 
 class Clock:
@@ -82,3 +86,22 @@
         log.flush()
     assert log.n_dropped > 0
     assert log._n_waiting_bytes <= MAX_WAITING_BYTES
+
+
+def test_writes_are_whole_lines_that_a_pipe_takes_at_once(make_log, monkeypatch):
+    """Longer writes were torn apart by those of other processes."""
+    log, _ = make_log()
+    sizes = []
+
+    def write(fd, data):
+        assert data.endswith(b"\n")
+        sizes.append(len(data))
+        return len(data)
+
+    monkeypatch.setattr(os, "write", write)
+    for _ in range(200):
+        log.write(LogLine(code=LogCode.JOB_SENT, subject="x" * 100))
+    log.flush()
+    assert len(sizes) > 5
+    assert max(sizes) <= CHUNK_BYTES
+    assert log._n_waiting_bytes == 0
