--- a/buckthornshift/platform/_documents.py
+++ b/buckthornshift/platform/_documents.py
@@ -24,7 +24,7 @@
 
 
 class _Route(msgspec.Struct, rename="pascal"):
-    """A queue. ``StretchMs``-like names are the platform's; see :class:`Queue`."""
+    """What we call a queue; see :class:`~buckthornshift.dispatch.Queue`."""
 
     name: str
     host: str
