FIX A repeated submission is not started after its home has passed the job on

Cause: a home repeats what it had sent when a link is new. If the owner had given the job back meanwhile, and owned the servers again, it took the repeat for a new job and started it beside the owner that had it now. Submissions have a number a try; what was given back is answered again.

--- a/buckthornshift/dispatch/_homes.py
+++ b/buckthornshift/dispatch/_homes.py
@@ -28,6 +28,7 @@
     :param arrived_ms: when the request arrived.
     :param deadline_ms: when the caller stops to wait.
     :param owner: address and term of the owner that has the job, or ``None``.
+    :param attempt: counts the owners that it was passed to.
     :param may_have_run: whether an owner was given the job and may have started it.
     :param resubmit_ms: when nothing that a former owner started can run any more.
     :param declined_by: address and term of an owner that gave the job back.
@@ -40,6 +41,7 @@
     arrived_ms: float = 0.0
     deadline_ms: float = 0.0
     owner: tuple | None = None
+    attempt: int = 0
     may_have_run: bool = False
     resubmit_ms: float = 0.0
     declined_by: tuple | None = None
@@ -194,6 +196,9 @@
         home_job = self.by_key.get(ended.key)
         if home_job is None or home_job.owner is None or home_job.owner[0] != address:
             return
+        if ended.attempt != home_job.attempt:
+            # About an earlier try at the same owner.
+            return
         if ended.outcome is Outcome.RETURNED:
             self.context.counters.n_returned += 1
             home_job.declined_by = home_job.owner[:2]
@@ -219,6 +224,7 @@
             # Only an owner of every server sees what a former one left running.
             return
         home_job.owner = (address, term, self._find_incarnation(address))
+        home_job.attempt += 1
         context.log(
             LogCode.JOB_SENT,
             home_job.job.job_id,
@@ -251,6 +257,7 @@
         context = self.context
         message = SubmitJob(
             key=home_job.key,
+            attempt=home_job.attempt,
             job=home_job.job,
             queue=home_job.queue,
             waited_ms=context.now_ms - home_job.arrived_ms,
--- a/buckthornshift/dispatch/_jobs.py
+++ b/buckthornshift/dispatch/_jobs.py
@@ -87,11 +87,21 @@
     :param address: the instance that sent it.
     :param incarnation: its process.
     :param key: its number there.
+    :param attempt: see :class:`SubmitJob`.
     """
 
     address: str = ""
     incarnation: int = 0
     key: int = 0
+    attempt: int = 0
+
+    def is_same_submission(self, other):
+        """Return whether another waiter is the same but for the attempt."""
+        return (self.address, self.incarnation, self.key) == (
+            other.address,
+            other.incarnation,
+            other.key,
+        )
 
 
 @attrs.define(kw_only=True, eq=False)
--- a/buckthornshift/dispatch/_owner_jobs.py
+++ b/buckthornshift/dispatch/_owner_jobs.py
@@ -61,13 +61,14 @@
                     address=event.address,
                     incarnation=event.incarnation,
                     key=event.message.key,
+                    attempt=event.message.attempt,
                 )
                 self._submit(waiter, event.message)
             case DropJob(key=key):
                 waiter = Waiter(
                     address=event.address, incarnation=event.incarnation, key=key
                 )
-                self._drop_waiters(lambda w: w == waiter)
+                self._drop_waiters(waiter.is_same_submission)
 
     def on_peer_lost(self, message):
         """Stop what nobody waits for any more."""
@@ -160,13 +161,17 @@
             return
         known = self.by_id.get(message.job.job_id)
         if known is not None and not known.is_ended:
-            if waiter not in known.waiters:
-                known.waiters.append(waiter)
+            others = [w for w in known.waiters if not waiter.is_same_submission(w)]
+            known.waiters = [*others, waiter]
             return
         if not self.election.is_owner:
             ended = JobEnded(
-                key=waiter.key, outcome=Outcome.RETURNED, reason=EndReason.NOT_OWNER
+                key=waiter.key,
+                attempt=waiter.attempt,
+                outcome=Outcome.RETURNED,
+                reason=EndReason.NOT_OWNER,
             )
+            self._remember(waiter, ended)
             self._send(waiter, ended)
             return
         job = self._build(message)
@@ -244,16 +249,20 @@
         for waiter in job.waiters:
             told = JobEnded(
                 key=waiter.key,
+                attempt=waiter.attempt,
                 outcome=ended.outcome,
                 reason=ended.reason,
                 may_have_run=ended.may_have_run,
                 retry_after_ms=ended.retry_after_ms,
             )
-            if ended.outcome is not Outcome.RETURNED:
-                self._ended_by_waiter[waiter] = (context.now_ms, told)
+            self._remember(waiter, told)
             self._send(waiter, told)
         job.waiters = []
 
+    def _remember(self, waiter, ended):
+        """Keep an outcome for repeats; one given back is not started by a repeat."""
+        self._ended_by_waiter[waiter] = (self.context.now_ms, ended)
+
     def _send(self, waiter, ended):
         context = self.context
         if waiter.address == context.identity.address:
--- a/buckthornshift/dispatch/_peer_messages.py
+++ b/buckthornshift/dispatch/_peer_messages.py
@@ -48,6 +48,8 @@
     """The instance that a caller reached passes a job to the owner.
 
     :param key: number of the submission at its sender.
+    :param attempt: counts the owners that it was passed to; a repeat over a new
+        connection has the same number.
     :param job: the job.
     :param queue: its queue as the sender knows it.
     :param waited_ms: time since the caller's request arrived.
@@ -56,6 +58,7 @@
     """
 
     key: int = 0
+    attempt: int = 0
     job: JobSpec = JobSpec()
     queue: Queue = Queue()
     waited_ms: float = 0.0
@@ -92,6 +95,7 @@
     """The owner tells how a submission ended.
 
     :param key: from :class:`SubmitJob`.
+    :param attempt: from :class:`SubmitJob`.
     :param outcome: ``returned`` if the sender is to find another owner.
     :param reason: why it did not complete.
     :param may_have_run: whether a task of it may have begun.
@@ -99,6 +103,7 @@
     """
 
     key: int = 0
+    attempt: int = 0
     outcome: Outcome = Outcome.COMPLETED
     reason: EndReason = EndReason.NONE
     may_have_run: bool = False
