--- a/tests/proving/fleet/test_fleet_mutations.py
+++ b/tests/proving/fleet/test_fleet_mutations.py
@@ -16,6 +16,7 @@
 from buckthornshift.dispatch._owner_jobs import OwnerJobs
 from buckthornshift.dispatch._runs import RunBook
 from buckthornshift.proving.fleet import FleetFault, FleetRule, run_fleet_seed
+from buckthornshift.standins import TaskServerModel
 
 N_SEEDS = 30
 ENDLESS_JOB = f"{3:016x}."
@@ -37,9 +38,9 @@
     monkeypatch.setattr(RunBook, "stop", stop_and_free)
 
 
-def forget_open_names(monkeypatch):
-    """Start a task whatever else may run under its name."""
-    monkeypatch.setattr(RunBook, "is_open", lambda self, name: False)
+def ignore_fences(monkeypatch):
+    """Servers take orders under any token."""
+    monkeypatch.setattr(TaskServerModel, "_accept_token", lambda self, token: True)
 
 
 def resubmit_at_once(monkeypatch):
@@ -185,6 +186,7 @@
 MUTATIONS = [
     (count_nothing, FleetRule.CAPACITY, [FleetFault.BURST]),
     (free_stopped_at_once, FleetRule.CAPACITY, [FleetFault.CALLERS_LEAVE]),
+    (ignore_fences, FleetRule.CAPACITY, [FleetFault.ZONE_CUT, FleetFault.OWNER_FREEZE]),
     (start_late, FleetRule.ONE_RUN, [FleetFault.ANSWERS_LOST]),
     (
         resubmit_at_once,
