--- a/buckthornshift/cli/_load.py
+++ b/buckthornshift/cli/_load.py
@@ -14,6 +14,7 @@
     render_results,
     write_results,
 )
+from ._load_site import site
 from ._output import (
     AddressType,
     ExitCode,
@@ -29,6 +30,9 @@
     """Run declared loads on a system over loopback or a virtual clock."""
 
 
+load.add_command(site)
+
+
 @load.command()
 @click.argument("files", nargs=-1, required=True)
 @click.option("--out", help="Write the results to this JSON file.")
--- /dev/null
+++ b/buckthornshift/load/fleet/__init__.py
@@ -0,0 +1,46 @@
+"""Loads of the users' sites on dispatching instances, under a virtual clock."""
+
+from ._fleet_experiment import (
+    FleetExperiment,
+    parse_fleet_experiment,
+    run_other_version,
+)
+from ._fleet_load import FleetLoad, FleetLoadPlan
+from ._fleet_report import (
+    find_worst_windows,
+    render_fleet_comparison,
+    render_fleet_results,
+)
+from ._records import (
+    Fate,
+    FleetLoadResult,
+    RequestRecord,
+    Stage,
+    group_records,
+    read_fleet_results,
+    summarize,
+    write_fleet_results,
+)
+from ._sites import SITES_BY_NAME, RequestKind, Site
+
+__all__ = [
+    "SITES_BY_NAME",
+    "Fate",
+    "FleetExperiment",
+    "FleetLoad",
+    "FleetLoadPlan",
+    "FleetLoadResult",
+    "RequestKind",
+    "RequestRecord",
+    "Site",
+    "Stage",
+    "find_worst_windows",
+    "group_records",
+    "parse_fleet_experiment",
+    "read_fleet_results",
+    "render_fleet_comparison",
+    "render_fleet_results",
+    "run_other_version",
+    "summarize",
+    "write_fleet_results",
+]
--- /dev/null
+++ b/buckthornshift/load/fleet/_fleet_load.py
@@ -0,0 +1,186 @@
+"""Run a site's load on dispatching instances under a virtual clock."""
+
+import random
+
+import attrs
+
+from ...dispatch import DispatchSettings
+from ...proving.fleet import (
+    FleetFaultInjector,
+    FleetPlan,
+    FleetRuleError,
+    FleetWorld,
+)
+from ._records import Fate, FleetLoadResult, RequestRecord, RoomPoint
+from ._site_callers import SiteCallers
+from ._sites import Site
+from ._stages import StageClock
+from ._traffic import draw_traffic
+
+WARM_UP_MS = 2_000.0
+DRAIN_MS = 12_000.0
+ROOM_INTERVAL_MS = 200.0
+
+
+@attrs.frozen(kw_only=True)
+class FleetLoadPlan:
+    """One load on one site.
+
+    :param name: name of the run.
+    :param site: the :class:`Site`.
+    :param load: factor on its rate of requests.
+    :param length_ms: length of the load.
+    :param seed: seed of everything random.
+    :param faults: the :class:`~buckthornshift.proving.fleet.PlannedFault` of the
+        run; times count from the start of the load.
+    :param event_ms: processor time that an instance takes for one event.
+    :param settings: the :class:`~buckthornshift.dispatch.DispatchSettings`.
+    """
+
+    name: str = "load"
+    site: Site = Site()
+    load: float = 0.6
+    length_ms: float = 20_000.0
+    seed: int = 1
+    faults: tuple = ()
+    event_ms: float = 0.0
+    settings: DispatchSettings = DispatchSettings()
+
+    def draw_arrivals(self):
+        """Draw the requests: the same for every policy and version."""
+        random_state = random.Random(self.seed)
+        return draw_traffic(
+            self.site, self.load, self.length_ms, random_state, self.faults
+        )
+
+    def make_fleet_plan(self):
+        """Return the plan of its world."""
+        site = self.site
+        faults = tuple(
+            attrs.evolve(fault, start_ms=fault.start_ms + WARM_UP_MS)
+            for fault in self.faults
+        )
+        return FleetPlan(
+            seed=self.seed,
+            n_zones=site.n_zones,
+            n_nodes=site.n_nodes,
+            n_servers=site.n_servers,
+            busy_ms=WARM_UP_MS + self.length_ms,
+            settle_ms=DRAIN_MS,
+            faults=faults,
+            zone_ms=site.zone_ms,
+            client_ms=site.client_ms,
+            event_ms=self.event_ms,
+            shape=site.make_shape(),
+        )
+
+
+class FleetLoad:
+    """Run a load and record what became of each request.
+
+    :param plan: the :class:`FleetLoadPlan`.
+    """
+
+    def __init__(self, plan=None):
+        self.plan = plan or FleetLoadPlan()
+        self.world = None
+        self._callers = None
+        self._stages = None
+        self._records = []
+        self._room = []
+        self._run_ms_by_task = {}
+        self._need_by_job = {}
+
+    def run(self):
+        """Run to the end and return the :class:`FleetLoadResult`."""
+        self._build()
+        violation = ""
+        try:
+            self._play()
+        except FleetRuleError as error:
+            violation = f"at {self.world.clock.now_ms:.1f} ms: {error}"
+        counts = self.world.oracle.counts
+        return FleetLoadResult(
+            name=self.plan.name,
+            length_ms=self.plan.length_ms,
+            records=tuple(sorted(self._records, key=lambda r: r.at_ms)),
+            room=tuple(self._room),
+            n_starts=counts.n_starts,
+            n_stopped=counts.n_stopped + counts.n_lapsed,
+            violation=violation,
+        )
+
+    def _build(self):
+        plan = self.plan
+        self.world = FleetWorld(plan=plan.make_fleet_plan(), settings=plan.settings)
+        self._stages = StageClock(world=self.world)
+        self._callers = SiteCallers(
+            world=self.world, resend_ms=plan.site.resend_ms, on_fate=self._note_fate
+        )
+        self.world.plan_run = self._plan_run
+        FleetFaultInjector(world=self.world, callers=self._callers).start()
+
+    def _play(self):
+        plan = self.plan
+        clock = self.world.clock
+        self.world.start()
+        for arrival in plan.draw_arrivals():
+            self._run_ms_by_task.update(arrival.run_ms_by_task)
+            self._need_by_job[arrival.job.job_id] = arrival.job.steps[0].need
+            clock.schedule(WARM_UP_MS + arrival.at_ms, self._send, arrival)
+        clock.schedule(WARM_UP_MS, self._look_at_room)
+        clock.run_until(WARM_UP_MS + plan.length_ms + DRAIN_MS)
+
+    def _send(self, arrival):
+        self._stages.note_sent(arrival.job.job_id)
+        self._callers.send(arrival)
+
+    def _plan_run(self, task):
+        return self._run_ms_by_task[task], False
+
+    def _look_at_room(self):
+        clock = self.world.clock
+        if clock.now_ms > WARM_UP_MS + self.plan.length_ms:
+            return
+        used_cpu = up_cpu = 0
+        for server in self.world.servers_by_id.values():
+            if server.model is None:
+                continue
+            up_cpu += server.model.capacity.cpu
+            used_cpu += sum(
+                self._need_by_job[task.partition(".")[0]].cpu
+                for task in server.model.run_by_task
+            )
+        site_cpu = self.plan.site.count_slots(task_cpu=1)
+        self._room.append(
+            RoomPoint(
+                at_ms=clock.now_ms - WARM_UP_MS,
+                used_share=round(used_cpu / max(1, up_cpu), 4),
+                up_share=round(up_cpu / site_cpu, 4),
+            )
+        )
+        clock.schedule(ROOM_INTERVAL_MS, self._look_at_room)
+
+    def _note_fate(self, arrival, fate, reason, elapsed_ms):
+        earned = 0.0
+        stage_ms = {}
+        if fate in (Fate.IN_TIME, Fate.LATE):
+            earned = arrival.credit if fate is Fate.IN_TIME else arrival.late_credit
+            earned = earned if elapsed_ms <= arrival.late_ms else 0.0
+            now_ms = self.world.clock.now_ms
+            stage_ms = self._stages.measure(arrival.job.job_id, now_ms)
+        self._records.append(
+            RequestRecord(
+                job_id=arrival.job.job_id,
+                kind=arrival.kind.name,
+                zone=f"zone-{arrival.zone_index}",
+                size=round(arrival.size, 4),
+                at_ms=round(arrival.at_ms, 2),
+                fate=fate,
+                reason=reason,
+                elapsed_ms=round(elapsed_ms, 2),
+                credit=arrival.credit,
+                earned=earned,
+                stage_ms=stage_ms,
+            )
+        )
--- /dev/null
+++ b/buckthornshift/load/fleet/_sites.py
@@ -0,0 +1,208 @@
+"""The users' deployments: kinds of request, sizes, objectives, servers, zones."""
+
+import attrs
+
+from ...dispatch import Queue
+from ...proving.fleet import FleetShape, ServerKind
+
+MAX_ATTEMPTS = 3
+TASK_MEMORY_MB = 64
+
+
+@attrs.frozen(kw_only=True)
+class RequestKind:
+    """A kind of request.
+
+    :param name: name for reports; its queue is called the same.
+    :param weight: share of the requests.
+    :param n_tasks: mean number of tasks.
+    :param max_tasks: most tasks.
+    :param run_ms: mean of what callers estimate for a task.
+    :param max_run_ms: longest run time of a task.
+    :param credit: what an answer in time is worth, for a job of mean work.
+    :param late_credit: what a late answer is worth.
+    :param priority: declared priority of its queue; 0 comes first.
+    """
+
+    name: str = ""
+    weight: float = 1.0
+    n_tasks: int = 1
+    max_tasks: int = 32
+    run_ms: float = 100.0
+    max_run_ms: float = 1_000.0
+    credit: float = 1.0
+    late_credit: float = 0.2
+    priority: int = 0
+
+
+@attrs.frozen(kw_only=True)
+class Site:
+    """A deployment and what its callers send.
+
+    :param name: name for reports.
+    :param service: its service.
+    :param kinds: kinds of request.
+    :param rate_per_s: requests a second at load 1.
+    :param task_cpu: mean need of a task, in thousandths of a core.
+    :param max_task_cpu: largest need of a task.
+    :param stretch: factor of the latency objective on the longest chain of work.
+    :param target_ms: constant part of the latency objective.
+    :param late_factor: multiple of the objective up to which an answer is late, and
+        worth less; after that it is worth nothing.
+    :param patience_ms: how long callers wait beyond that.
+    :param run_ratio: mean of real run times over estimates.
+    :param resend_ms: pause before a broken request is sent again.
+    :param n_zones: availability zones.
+    :param n_nodes: dispatching instances.
+    :param n_servers: backend servers.
+    :param server_kinds: kinds of servers.
+    :param n_per_rack: servers on one rack.
+    :param zone_ms: one-way delay between zones.
+    :param client_ms: one-way delay between callers and instances.
+    """
+
+    name: str = ""
+    service: str = "service"
+    kinds: tuple[RequestKind, ...] = ()
+    rate_per_s: float = 70.0
+    task_cpu: float = 6_800.0
+    max_task_cpu: float = 10_000.0
+    stretch: float = 1.6
+    target_ms: float = 60.0
+    late_factor: float = 3.0
+    patience_ms: float = 1_500.0
+    run_ratio: float = 1.3
+    resend_ms: float = 1_300.0
+    n_zones: int = 3
+    n_nodes: int = 9
+    n_servers: int = 24
+    server_kinds: tuple[ServerKind, ...] = ()
+    n_per_rack: int = 8
+    zone_ms: float = 0.5
+    client_ms: float = 3.0
+
+    def make_shape(self):
+        """Return the :class:`FleetShape` of its servers and queues."""
+        queues = tuple(
+            Queue(
+                name=kind.name,
+                host="h",
+                path_prefix=f"/{kind.name}/",
+                service=self.service,
+                priority=kind.priority,
+                max_attempts=MAX_ATTEMPTS,
+                stretch=self.stretch,
+                target_ms=self.target_ms,
+            )
+            for kind in self.kinds
+        )
+        return FleetShape(
+            services=(self.service,),
+            server_kinds=self.server_kinds,
+            n_per_rack=self.n_per_rack,
+            queues=queues,
+        )
+
+    def count_slots(self, task_cpu=None):
+        """Return how many tasks of a size all its servers hold at once.
+
+        :param task_cpu: what a task needs; ``None`` for the mean.
+        """
+        need_cpu = self.task_cpu if task_cpu is None else task_cpu
+        kinds = self.server_kinds
+        return sum(
+            kinds[index % len(kinds)].cpu // need_cpu for index in range(self.n_servers)
+        )
+
+
+def _make_kinds(quick, slow, short):
+    """Return three kinds of request that both users have under their own names."""
+    return (
+        RequestKind(
+            name=quick,
+            weight=0.244,
+            n_tasks=8,
+            max_tasks=32,
+            run_ms=60.0,
+            max_run_ms=240.0,
+            credit=0.0291,
+            late_credit=0.00582,
+            priority=0,
+        ),
+        RequestKind(
+            name=slow,
+            weight=0.044,
+            n_tasks=4,
+            max_tasks=16,
+            run_ms=900.0,
+            max_run_ms=3_600.0,
+            credit=0.16,
+            late_credit=0.032,
+            priority=2,
+        ),
+        RequestKind(
+            name=short,
+            weight=0.711,
+            n_tasks=2,
+            max_tasks=8,
+            run_ms=200.0,
+            max_run_ms=800.0,
+            credit=0.01,
+            late_credit=0.002,
+            priority=1,
+        ),
+    )
+
+
+TREASURY = Site(
+    name="treasury",
+    service="treasury",
+    kinds=_make_kinds("balance", "payout", "sweep"),
+    server_kinds=(
+        ServerKind(label="a"),
+        ServerKind(label="a"),
+        ServerKind(label="b", cpu=24_000, speed=1.3),
+    ),
+)
+PATROL = Site(
+    name="patrol",
+    service="patrol",
+    kinds=_make_kinds("hazard", "order", "span"),
+    task_cpu=27_000.0,
+    max_task_cpu=40_000.0,
+    n_zones=4,
+    n_nodes=7,
+    server_kinds=(
+        ServerKind(label="a", cpu=64_000),
+        ServerKind(label="a", cpu=64_000),
+        ServerKind(label="b", cpu=96_000, speed=1.3),
+    ),
+    n_per_rack=6,
+    zone_ms=1.4,
+    client_ms=1.0,
+)
+GROWN_FACTOR = 6.0
+SITES_BY_NAME = {
+    site.name: site
+    for site in (
+        TREASURY,
+        PATROL,
+        attrs.evolve(
+            TREASURY,
+            name="treasury-grown",
+            rate_per_s=GROWN_FACTOR * TREASURY.rate_per_s,
+            n_nodes=41,
+            n_servers=176,
+        ),
+        attrs.evolve(
+            PATROL,
+            name="patrol-grown",
+            rate_per_s=GROWN_FACTOR * PATROL.rate_per_s,
+            n_zones=5,
+            n_nodes=40,
+            n_servers=175,
+            n_per_rack=20,
+            zone_ms=0.9,
+        ),
+    )
+}
--- /dev/null
+++ b/buckthornshift/load/fleet/_stages.py
@@ -0,0 +1,91 @@
+"""Where the time of each job went, from what instances and servers report."""
+
+import attrs
+
+from ...dispatch import LogCode
+from ._records import Stage
+
+
+@attrs.define(kw_only=True)
+class JobTimes:
+    """Moments of a job, in milliseconds of the run's clock.
+
+    :param sent: when its caller sent it.
+    :param queued: when an owner took it.
+    :param ordered: when the last of its tasks was first ordered.
+    :param begun: when the last of its tasks began.
+    :param ended: when the last of its tasks ended well.
+    """
+
+    sent: float = 0.0
+    queued: float | None = None
+    ordered: float | None = None
+    begun: float | None = None
+    ended: float | None = None
+
+
+class StageClock:
+    """Note the moments of jobs, and turn them into stages.
+
+    It observes the servers in place of the oracle, which it tells of everything.
+
+    :param world: the :class:`~buckthornshift.proving.fleet.FleetWorld`.
+    """
+
+    def __init__(self, world=None):
+        self.world = world
+        self.by_job = {}
+        self._ordered_tasks = set()
+        self._note_begin = world.oracle.note_begin
+        self._note_end = world.oracle.note_end
+        world.oracle.note_begin = self.note_begin
+        world.oracle.note_end = self.note_end
+        world.on_log = self.note_log
+
+    def note_sent(self, job_id):
+        """Note that a caller sent a job."""
+        self.by_job[job_id] = JobTimes(sent=self.world.clock.now_ms)
+
+    def note_begin(self, server, run, order):
+        """Note that a server began a task."""
+        self._note_begin(server, run, order)
+        self._find(run.task).begun = self.world.clock.now_ms
+
+    def note_end(self, server, run, kind):
+        """Note how a run ended."""
+        self._note_end(server, run, kind)
+        if kind == "done":
+            self._find(run.task).ended = self.world.clock.now_ms
+
+    def note_log(self, node, action):
+        """Note what an instance logs about a job."""
+        now_ms = self.world.clock.now_ms
+        match getattr(action, "code", None):
+            case LogCode.JOB_QUEUED:
+                times = self.by_job.get(action.subject)
+                if times is not None and times.queued is None:
+                    times.queued = now_ms
+            case LogCode.TASK_STARTED if action.subject not in self._ordered_tasks:
+                self._ordered_tasks.add(action.subject)
+                self._find(action.subject).ordered = now_ms
+
+    def measure(self, job_id, answered_ms):
+        """Return the time of each stage of a complete job.
+
+        :param job_id: the job.
+        :param answered_ms: when its caller had the answer.
+        """
+        times = self.by_job[job_id]
+        moments = (times.sent, times.queued, times.ordered, times.begun, times.ended)
+        stage_ms = {}
+        former_ms = times.sent
+        for stage, moment_ms in zip(Stage, (*moments[1:], answered_ms), strict=True):
+            # A task that ran twice begins after its job was ordered whole.
+            next_ms = max(former_ms, former_ms if moment_ms is None else moment_ms)
+            stage_ms[stage.value] = round(next_ms - former_ms, 2)
+            former_ms = next_ms
+        return stage_ms
+
+    def _find(self, task):
+        job_id = task.partition(".")[0]
+        return self.by_job.setdefault(job_id, JobTimes())
--- a/buckthornshift/proving/fleet/__init__.py
+++ b/buckthornshift/proving/fleet/__init__.py
@@ -1,18 +1,31 @@
 """Randomised runs of dispatching instances under a virtual clock, with an oracle."""
 
-from ._oracle import FleetCounts, FleetRule
-from ._plan import FleetFault, FleetPlan, PlannedFault, draw_fleet_plan
+from ._faults import LEAVING_SHARE, FleetFaultInjector
+from ._oracle import FleetCounts, FleetRule, FleetRuleError
+from ._plan import (
+    FleetFault,
+    FleetPlan,
+    FleetShape,
+    PlannedFault,
+    ServerKind,
+    draw_fleet_plan,
+)
 from ._runner import FleetResult, run_fleet_plan, run_fleet_seed
 from ._world import FleetWorld
 
 __all__ = [
+    "LEAVING_SHARE",
     "FleetCounts",
     "FleetFault",
+    "FleetFaultInjector",
     "FleetPlan",
     "FleetResult",
     "FleetRule",
+    "FleetRuleError",
+    "FleetShape",
     "FleetWorld",
     "PlannedFault",
+    "ServerKind",
     "draw_fleet_plan",
     "run_fleet_plan",
     "run_fleet_seed",
--- a/buckthornshift/proving/fleet/_callers.py
+++ b/buckthornshift/proving/fleet/_callers.py
@@ -124,7 +124,7 @@
         """Return how long a task runs and whether it fails, the same each time."""
         if task not in self._run_by_task:
             random_state = self.world.random_state
-            step = self.world.oracle._find_step(task)
+            step = self.world.oracle.find_step(task)
             duration_ms = step.estimate_ms * random_state.uniform(0.6, 1.4)
             is_poison = random_state.random() < POISON_SHARE
             self._run_by_task[task] = (duration_ms, is_poison)
--- a/buckthornshift/proving/fleet/_oracle.py
+++ b/buckthornshift/proving/fleet/_oracle.py
@@ -167,6 +167,11 @@
             self._fail(FleetRule.CONFIGURATION, f"{node_key} back to {version}")
         self._version_by_node[node_key] = version
 
+    def find_step(self, task):
+        """Return the :class:`~buckthornshift.dispatch.StepSpec` of a task's name."""
+        job_id, _, step, _ = task.split(".")
+        return self.by_job[job_id].spec.steps[int(step)]
+
     def check_end(self):
         """Check everything that can be told only at the end."""
         for seen in self.by_job.values():
@@ -211,7 +216,7 @@
 
     def _check_server(self, server, run, seen):
         record = self.world.find_record(server.server_id)
-        step = self._find_step(run.task)
+        step = self.find_step(run.task)
         is_right = record.service == seen.queue.service and (
             not step.required_label or step.required_label in record.labels
         )
@@ -243,12 +248,8 @@
             for index in range(step.n_tasks):
                 yield seen.spec.name_task(number, index)
 
-    def _find_step(self, task):
-        job_id, _, step, _ = task.split(".")
-        return self.by_job[job_id].spec.steps[int(step)]
-
     def _find_need(self, task):
-        return self._find_step(task).need
+        return self.find_step(task).need
 
     def _fail(self, rule, detail):
         raise FleetRuleError(rule=rule, detail=detail)
--- a/buckthornshift/proving/fleet/_plan.py
+++ b/buckthornshift/proving/fleet/_plan.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from ...dispatch import Queue
+
 
 class FleetFault(enum.StrEnum):
     """Faults that a run can contain."""
@@ -54,6 +56,59 @@
     target: int = 0
 
 
+@attrs.frozen(kw_only=True)
+class ServerKind:
+    """A kind of backend server.
+
+    :param label: its label.
+    :param cpu: thousandths of a core that it holds.
+    :param speed: factor on its speed.
+    """
+
+    label: str = ""
+    cpu: int = 16_000
+    speed: float = 1.0
+
+
+def _make_default_queues():
+    return tuple(
+        Queue(
+            name=f"{service}-{priority}",
+            host="h",
+            path_prefix=f"/{service}/{priority}/",
+            service=service,
+            priority=priority,
+            max_attempts=3,
+            stretch=1.6,
+            target_ms=60.0,
+        )
+        for service in ("cash", "sweep")
+        for priority in (0, 1)
+    )
+
+
+@attrs.frozen(kw_only=True)
+class FleetShape:
+    """What the servers of a run are, and what its operators declare.
+
+    :param services: services of the servers, taken in turn.
+    :param server_kinds: kinds of the servers, taken in turn.
+    :param memory_mb: memory of each server.
+    :param n_per_rack: servers on one rack.
+    :param queues: declared queues.
+    """
+
+    services: tuple[str, ...] = ("cash", "cash", "cash", "sweep")
+    server_kinds: tuple[ServerKind, ...] = (
+        ServerKind(label="a"),
+        ServerKind(label="a"),
+        ServerKind(label="b", cpu=24_000),
+    )
+    memory_mb: int = 32_768
+    n_per_rack: int = 2
+    queues: tuple[Queue, ...] = attrs.field(factory=_make_default_queues)
+
+
 @attrs.frozen(kw_only=True)
 class FleetPlan:
     """Size, load and faults of a run.
@@ -69,6 +124,8 @@
     :param near_ms: one-way delay inside a zone.
     :param zone_ms: one-way delay between zones.
     :param client_ms: one-way delay between callers and instances.
+    :param event_ms: processor time that an instance takes for one event.
+    :param shape: the :class:`FleetShape`.
     """
 
     seed: int = 0
@@ -82,6 +139,8 @@
     near_ms: float = 0.1
     zone_ms: float = 1.4
     client_ms: float = 3.0
+    event_ms: float = 0.0
+    shape: FleetShape = FleetShape()
 
 
 START_MS = 2_000.0
--- a/buckthornshift/proving/fleet/_world.py
+++ b/buckthornshift/proving/fleet/_world.py
@@ -1,5 +1,6 @@
 """Dispatching instances, servers and a store under a virtual clock."""
 
+import collections
 import random
 
 import attrs
@@ -15,7 +16,6 @@
     FollowServers,
     HoldServer,
     InstancesFound,
-    Queue,
     Resources,
     SendPeer,
     ServerRecord,
@@ -35,8 +35,6 @@
 STORE_MS = 4.0
 RESTART_MS = 400.0
 DRAINED_EXIT_MS = 3_000.0
-SERVICES = ("cash", "cash", "cash", "sweep")
-KINDS = ("a", "a", "b")
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -49,6 +47,7 @@
     :param incarnation: number of its process, random like a real one.
     :param is_frozen: whether it stands still.
     :param held: events that came while it stood still.
+    :param inbox: events that wait for the processor, in order.
     :param is_stopping: whether it was asked to stop.
     :param slow_ms: delay of each event on a slow machine.
     :param is_following: whether it follows the list of servers.
@@ -62,6 +61,7 @@
     incarnation: int = 0
     is_frozen: bool = False
     held: list = attrs.field(factory=list)
+    inbox: collections.deque = attrs.field(factory=collections.deque)
     is_stopping: bool = False
     slow_ms: float = 0.0
     is_following: bool = False
@@ -135,22 +135,23 @@
 
     def add_server(self, zone, index):
         """Start a server and list it."""
-        kind = KINDS[index % len(KINDS)]
+        shape = self.plan.shape
+        kind = shape.server_kinds[index % len(shape.server_kinds)]
         name = f"s{len(self.servers_by_id)}"
-        size = 1.5 if kind == "b" else 1.0
-        capacity = Resources(cpu=int(16_000 * size), memory_mb=32_768)
+        capacity = Resources(cpu=kind.cpu, memory_mb=shape.memory_mb)
         record = ServerRecord(
             server_id=name,
-            service=SERVICES[index % len(SERVICES)],
+            service=shape.services[index % len(shape.services)],
             host="10.0.0.1",
             port=index + 1,
             zone=zone,
             capacity=capacity,
-            labels=(kind, f"r-{index // 2}"),
+            labels=(kind.label, f"r-{index // shape.n_per_rack}"),
         )
         model = TaskServerModel(
             server_id=name,
             capacity=capacity,
+            speed=kind.speed,
             clock_rate=self.random_state.choice((1.0, 0.99, 0.98)),
             clock_start_ms=self.random_state.uniform(0.0, 1e6),
             plan_run=lambda task: self.plan_run(task),
@@ -186,6 +187,7 @@
         node.incarnation = self.random_state.getrandbits(INCARNATION_BITS)
         node.is_frozen = node.is_stopping = node.is_following = False
         node.held, node.callers, node.wake_ms, node.slow_ms = [], {}, None, 0.0
+        node.inbox.clear()
         identity = DispatchIdentity(
             address=node.name,
             incarnation=node.incarnation,
@@ -232,9 +234,9 @@
             node.held.append(event)
             return
         if node.slow_ms and not isinstance(event, TimeAdvanced):
-            self.clock.schedule(node.slow_ms, self._handle, node, key, event)
+            self.clock.schedule(node.slow_ms, self._accept, node, key, event)
             return
-        self._handle(node, key, event)
+        self._accept(node, key, event)
 
     def find_node(self, address):
         """Return the instance at an address, or ``None``."""
@@ -281,6 +283,30 @@
         self.network.serve_waiting(server)
         self.schedule_server(server)
 
+    def _accept(self, node, key, event):
+        """Let an event wait for the processor, if handling it takes time."""
+        if not self.plan.event_ms:
+            self._handle(node, key, event)
+            return
+        if node.core is None or node.key != key:
+            return
+        is_timer = isinstance(event, TimeAdvanced)
+        if is_timer and any(isinstance(other, TimeAdvanced) for other in node.inbox):
+            return
+        node.inbox.append(event)
+        if len(node.inbox) == 1:
+            self.clock.schedule(self.plan.event_ms, self._work_off, node, key)
+
+    def _work_off(self, node, key):
+        if node.core is None or node.key != key or not node.inbox:
+            return
+        self._handle(node, key, node.inbox[0])
+        if node.core is None or node.key != key or not node.inbox:
+            return
+        node.inbox.popleft()
+        if node.inbox:
+            self.clock.schedule(self.plan.event_ms, self._work_off, node, key)
+
     def _handle(self, node, key, event):
         if node.core is None or node.key != key:
             return
@@ -384,18 +410,4 @@
         return f"zone-{index % self.plan.n_zones}"
 
     def _make_configuration(self, version):
-        queues = tuple(
-            Queue(
-                name=f"{service}-{priority}",
-                host="h",
-                path_prefix=f"/{service}/{priority}/",
-                service=service,
-                priority=priority,
-                max_attempts=3,
-                stretch=1.6,
-                target_ms=60.0,
-            )
-            for service in ("cash", "sweep")
-            for priority in (0, 1)
-        )
-        return Configuration(version=version, queues=queues)
+        return Configuration(version=version, queues=self.plan.shape.queues)
--- a/buckthornshift/standins/_task_server.py
+++ b/buckthornshift/standins/_task_server.py
@@ -70,6 +70,7 @@
 
     :param server_id: id of this life.
     :param capacity: its :class:`~buckthornshift.dispatch.Resources`.
+    :param speed: factor on the speed of its tasks.
     :param clock_rate: speed of its clock; it may be 2 % slow.
     :param clock_start_ms: what its clock shows at time 0.
     :param plan_run: called with a task's name; returns its duration in ms and
@@ -81,6 +82,7 @@
         self,
         server_id="",
         capacity=None,
+        speed=1.0,
         clock_rate=1.0,
         clock_start_ms=0.0,
         plan_run=None,
@@ -88,6 +90,7 @@
     ):
         self.server_id = server_id
         self.capacity = capacity or Resources()
+        self.speed = speed
         self.clock_rate = clock_rate
         self.clock_start_ms = clock_start_ms
         self.plan_run = plan_run
@@ -190,7 +193,7 @@
 
     def _begin(self, order, now_ms):
         duration_ms, is_failing = self.plan_run(order.task)
-        duration_ms *= self.faults.slow_factor
+        duration_ms *= self.faults.slow_factor / self.speed
         run = ModelRun(
             task=order.task,
             run=order.run,
