FIX What waited unread at a busy owner starts no second run

Cause: an owner short of processor time reads submissions late. Its home has given it up meanwhile, waited for the lapse and passed the job to the next owner; the first one then starts what it finds in its socket.

Also, as what made the owner busy: answers that lay in its sockets counted as missing (timers fired first), each then stopped and started again elsewhere, and late answers never made the wait longer. Missing answers are judged, and tasks placed, after everything was read.

Ruled out: leases (the runs overlapped from their beginning), terms and fences (each owner held its own servers).

--- a/buckthornshift/dispatch/_admission.py
+++ b/buckthornshift/dispatch/_admission.py
@@ -6,6 +6,9 @@
 
 # What is left of a run that takes longer than expected, as a part of that.
 OVERDUE_FRACTION = 0.2
+# Age up to which the expected ends of what runs are used again: well under the
+# shortest objective, and much more than the time to work one message off.
+ENDS_KEPT_MS = 5.0
 # A job that no listed server holds may fit a server of the next nightly upgrade.
 INFEASIBLE_RETRY_MS = 1_000.0
 
@@ -41,6 +44,7 @@
         self.context = context
         self.fleet = fleet
         self.durations = durations
+        self._left_by_service = {}
 
     def check(self, job, open_jobs):
         """Return a :class:`JobRefusal`, or ``None`` for a job that is taken.
@@ -99,7 +103,7 @@
         :param job: the job.
         :param n_needed: slots needed beyond those that are free.
         """
-        left_ms = sorted(self._list_left_ms(job.queue.service))
+        left_ms = self._find_left_ms(job.queue.service)
         if not left_ms:
             return 0.0
         if n_needed <= len(left_ms):
@@ -107,6 +111,15 @@
         n_rounds = n_needed / len(left_ms)
         return n_rounds * max(left_ms[-1], job.chain_ms)
 
+    def _find_left_ms(self, service):
+        """Return how long runs go on, in order; a moment old at most."""
+        now_ms = self.context.now_ms
+        read_ms, left_ms = self._left_by_service.get(service, (-ENDS_KEPT_MS, ()))
+        if now_ms - read_ms >= ENDS_KEPT_MS:
+            left_ms = sorted(self._list_left_ms(service))
+            self._left_by_service[service] = (now_ms, left_ms)
+        return left_ms
+
     def _list_left_ms(self, service):
         """Return how long each run of a service is expected to go on."""
         now_ms = self.context.now_ms
--- a/buckthornshift/dispatch/_core.py
+++ b/buckthornshift/dispatch/_core.py
@@ -15,6 +15,7 @@
 from ._internal import (
     BeatDue,
     HousekeepingDue,
+    InputDrained,
     PauseNoticed,
     RunGone,
     ServersChanged,
@@ -71,18 +72,25 @@
     def handle(self, event, now_ms, wall_ms):
         """Take one event; return a list of actions.
 
+        :class:`TimeAdvanced` is to come after everything that has arrived: what is
+        overdue is judged, and tasks are placed, when it does. So a busy process
+        reads the answers that wait for it before it misses them, and looks for room
+        once for all that came together.
+
         :param event: an event of this package.
         :param now_ms: monotonic time in milliseconds.
         :param wall_ms: milliseconds since the epoch.
         """
         self._set_time(now_ms, wall_ms)
         self._fire_timers()
-        if not isinstance(event, TimeAdvanced):
-            self.context.post(event)
-        return self._run()
+        is_drained = isinstance(event, TimeAdvanced)
+        self.context.post(InputDrained() if is_drained else event)
+        return self._run(is_drained)
 
     def find_next_due(self):
         """Return when :class:`TimeAdvanced` is next needed, or ``None``."""
+        if self.placing.is_needed or self.runs.has_overdue:
+            return self.context.now_ms
         return self.context.timers.find_next_due()
 
     def is_ready(self):
@@ -125,6 +133,7 @@
         self.jobs = OwnerJobs(
             context=context,
             fleet=self.fleet,
+            membership=self.membership,
             election=self.election,
             admission=self.admission,
             durations=self.durations,
@@ -220,10 +229,10 @@
             self._deliver(PauseNoticed(late_ms=late_ms))
             self._deliver_posted()
 
-    def _run(self):
+    def _run(self, is_drained=False):
         context = self.context
         self._deliver_posted()
-        while self.placing.is_needed:
+        while is_drained and self.placing.is_needed:
             self.placing.pump()
             self._deliver_posted()
         actions = context.actions
--- a/buckthornshift/dispatch/_homes.py
+++ b/buckthornshift/dispatch/_homes.py
@@ -200,16 +200,26 @@
             # About an earlier try at the same owner.
             return
         if ended.outcome is Outcome.RETURNED:
-            self.context.counters.n_returned += 1
-            home_job.declined_by = home_job.owner[:2]
-            home_job.owner = None
-            home_job.may_have_run = home_job.may_have_run or ended.may_have_run
-            if home_job.may_have_run:
-                self._wait_for_lapse(home_job, self.context.now_ms)
-            self._route(home_job)
+            self._take_back(home_job, ended)
             return
         self._answer(home_job, ended)
 
+    def _take_back(self, home_job, ended):
+        """Find another owner for a job, or the same one a little later."""
+        context = self.context
+        context.counters.n_returned += 1
+        owner, home_job.owner = home_job.owner, None
+        home_job.may_have_run = home_job.may_have_run or ended.may_have_run
+        if ended.reason is EndReason.OUT_OF_CONTACT:
+            # That owner did not start it, and may be in contact again soon.
+            retry = ResubmitDue(key=home_job.key)
+            context.start_timer(context.settings.retry_ms, retry)
+            return
+        home_job.declined_by = owner[:2]
+        if home_job.may_have_run:
+            self._wait_for_lapse(home_job, context.now_ms)
+        self._route(home_job)
+
     def _route(self, home_job):
         context = self.context
         address, term, is_complete = self.election.owner or (None, 0, False)
--- a/buckthornshift/dispatch/_internal.py
+++ b/buckthornshift/dispatch/_internal.py
@@ -15,6 +15,11 @@
     """Timer: renew leases, look for stalled tasks, forget what is old."""
 
 
+@attrs.frozen(kw_only=True)
+class InputDrained:
+    """Everything that had arrived at the last look at the sockets is handled."""
+
+
 @attrs.frozen(kw_only=True)
 class PeerLost:
     """An instance does not answer, or was replaced by another process.
--- a/buckthornshift/dispatch/_owner_jobs.py
+++ b/buckthornshift/dispatch/_owner_jobs.py
@@ -20,16 +20,24 @@
 
     :param context: the shared :class:`DispatchContext`.
     :param fleet: the :class:`Fleet`.
+    :param membership: the :class:`Membership`.
     :param election: the :class:`Election`.
     :param admission: the :class:`Admission`.
     :param durations: the :class:`Durations`.
     """
 
     def __init__(
-        self, context=None, fleet=None, election=None, admission=None, durations=None
+        self,
+        context=None,
+        fleet=None,
+        membership=None,
+        election=None,
+        admission=None,
+        durations=None,
     ):
         self.context = context
         self.fleet = fleet
+        self.membership = membership
         self.election = election
         self.admission = admission
         self.durations = durations
@@ -164,15 +172,13 @@
             others = [w for w in known.waiters if not waiter.is_same_submission(w)]
             known.waiters = [*others, waiter]
             return
+        if not self.membership.is_live(waiter.address, waiter.incarnation):
+            # It waited here unread, or its sender is being lost: by the time that
+            # it started, the sender could have passed it to another owner.
+            self._give_back(waiter, EndReason.OUT_OF_CONTACT)
+            return
         if not self.election.is_owner:
-            ended = JobEnded(
-                key=waiter.key,
-                attempt=waiter.attempt,
-                outcome=Outcome.RETURNED,
-                reason=EndReason.NOT_OWNER,
-            )
-            self._remember(waiter, ended)
-            self._send(waiter, ended)
+            self._give_back(waiter, EndReason.NOT_OWNER)
             return
         job = self._build(message)
         job.waiters.append(waiter)
@@ -182,6 +188,16 @@
             return
         self._accept(job)
 
+    def _give_back(self, waiter, reason):
+        ended = JobEnded(
+            key=waiter.key,
+            attempt=waiter.attempt,
+            outcome=Outcome.RETURNED,
+            reason=reason,
+        )
+        self._remember(waiter, ended)
+        self._send(waiter, ended)
+
     def _build(self, message):
         queue = message.queue
         need_cpu = max(1, max(step.need.cpu for step in message.job.steps))
--- a/buckthornshift/dispatch/_peer_messages.py
+++ b/buckthornshift/dispatch/_peer_messages.py
@@ -86,6 +86,7 @@
     UNSUPPORTED = "unsupported"
     NO_OWNER = "no_owner"
     NOT_OWNER = "not_owner"
+    OUT_OF_CONTACT = "out_of_contact"
     NO_CONFIGURATION = "no_configuration"
     STOPPING = "stopping"
 
--- a/buckthornshift/dispatch/_placing.py
+++ b/buckthornshift/dispatch/_placing.py
@@ -45,20 +45,28 @@
         if not jobs:
             return
         jobs.sort(key=lambda job: rank_job(job, now_ms))
-        rooms_by_service = {}
+        room_by_service = self._find_rooms(jobs)
         for job in jobs:
             if self._is_hopeless(job):
                 self._give_up(job)
                 continue
-            service = job.queue.service
-            room = rooms_by_service.get(service)
-            if room is None:
-                room = _Room(list(self.fleet.iter_open(service)))
-                rooms_by_service[service] = room
-            self._start_tasks(job, room)
+            self._start_tasks(job, room_by_service[job.queue.service])
             if self._is_patience_over(job):
                 self._give_up(job)
 
+    def _find_rooms(self, jobs):
+        """Return the room of each service that some jobs wait for."""
+        least_cpu_by_service = {}
+        for job in jobs:
+            service = job.queue.service
+            need_cpu = min(step.need.cpu for step in job.spec.steps)
+            known_cpu = least_cpu_by_service.get(service, need_cpu)
+            least_cpu_by_service[service] = min(known_cpu, need_cpu)
+        return {
+            service: _Room(list(self.fleet.iter_open(service)), least_cpu)
+            for service, least_cpu in least_cpu_by_service.items()
+        }
+
     def _give_up(self, job):
         retry_after_ms = self.context.settings.min_retry_after_ms
         self.jobs.give_up(job, EndReason.OVERLOADED, retry_after_ms)
@@ -84,6 +92,7 @@
             server = self._choose(task, room)
             if server is not None:
                 self.runs.start(task, server)
+                room.note_start(server)
 
     def _choose(self, task, room):
         fitting = [
@@ -125,14 +134,27 @@
     """Open servers of a service during one look, and what they can't hold any more.
 
     Room only shrinks during a look, so what did not fit once is not tried again.
+
+    :param servers: the open servers.
+    :param least_cpu: least that any waiting task needs; what holds less is left out.
     """
 
-    def __init__(self, servers):
-        self.servers = [s for s in servers if s.clock_offset_ms is not None]
-        total = sum(server.slowness for server in self.servers)
-        self.mean_slowness = total / max(1, len(self.servers))
+    def __init__(self, servers, least_cpu):
+        self.least_cpu = least_cpu
+        total = sum(server.slowness for server in servers)
+        self.mean_slowness = total / max(1, len(servers))
+        self.servers = [
+            server
+            for server in servers
+            if server.clock_offset_ms is not None and server.free.cpu >= least_cpu
+        ]
         self._full_cpu = float("inf")
 
+    def note_start(self, server):
+        """Leave a server out that a start has filled."""
+        if server.free.cpu < self.least_cpu:
+            self.servers.remove(server)
+
     def may_fit(self, need):
         """Return whether it is worth to look for room for a need."""
         return bool(self.servers) and need.cpu < self._full_cpu
--- a/buckthornshift/dispatch/_runs.py
+++ b/buckthornshift/dispatch/_runs.py
@@ -4,6 +4,7 @@
 from ._events import EndKind, StartAnswered, StopAnswered, Verdict
 from ._internal import (
     HousekeepingDue,
+    InputDrained,
     RunGone,
     ServersChanged,
     StartOverdue,
@@ -42,6 +43,7 @@
         self._open_by_name = {}
         self._done_by_name = {}
         self._lost_server_by_name = {}
+        self._overdue = []
         jobs.runs = self
 
     def subscribe(self):
@@ -49,11 +51,17 @@
         return {
             StartAnswered: self.on_start_answered,
             StartOverdue: self.on_start_overdue,
+            InputDrained: self.on_input_drained,
             StopAnswered: self.on_stop_answered,
             StopRetryDue: self.on_stop_retry,
             HousekeepingDue: self.on_housekeeping,
         }
 
+    @property
+    def has_overdue(self):
+        """Whether overdue starts wait to be judged."""
+        return bool(self._overdue)
+
     @property
     def n_open(self):
         """Number of runs that hold room."""
@@ -132,12 +140,16 @@
     def on_start_answered(self, event):
         """Take what a server said to a start order."""
         server, run = self._find(event)
-        if run is None or run.phase is RunPhase.STOPPING:
+        if run is None:
             return
         if event.clock_ms is not None:
             server.read_clock(event.clock_ms, self.context.now_ms)
             server.answered_ms = self.context.now_ms
+            # An answer that came too late counts most: without it the wait would
+            # never grow, and a busy process would stop all that it starts.
             self.patience.note(self.context.now_ms - run.sent_ms)
+        if run.phase is RunPhase.STOPPING:
+            return
         match event.verdict:
             case Verdict.DONE:
                 self._note_running(server, run)
@@ -147,14 +159,21 @@
                 self._note_rejected(server, run, event.verdict)
 
     def on_start_overdue(self, message):
-        """Stop a start whose answer is overdue, so that it can go elsewhere.
+        """Remember a start whose answer is overdue."""
+        self._overdue.append(message)
+
+    def on_input_drained(self, message):
+        """Stop starts whose answer is overdue, so that they can go elsewhere.
 
         Answers the pattern of orders that are carried out late: the stop bars the
-        run, and the task starts on another server once that is acknowledged.
+        run, and the task starts on another server once that is acknowledged. An
+        answer that waits in a socket of a busy process is read first.
         """
-        server, run = self._find(message)
-        if run is not None and run.phase is RunPhase.STARTING:
-            self._note_unanswered(server, run)
+        overdue, self._overdue = self._overdue, []
+        for late in overdue:
+            server, run = self._find(late)
+            if run is not None and run.phase is RunPhase.STARTING:
+                self._note_unanswered(server, run)
 
     def on_stop_answered(self, event):
         """Take what a server said to a stop order."""
--- a/tests/dispatch/test_placing.py
+++ b/tests/dispatch/test_placing.py
@@ -86,6 +86,10 @@
 
     def feed(self, event):
         self.take(self.core.handle(event, self.now_ms, 1.8e12 + self.now_ms))
+        if self.core.find_next_due() <= self.now_ms:
+            self.take(
+                self.core.handle(TimeAdvanced(), self.now_ms, 1.8e12 + self.now_ms)
+            )
 
     def pass_time(self, ms):
         end_ms = self.now_ms + ms
@@ -108,7 +112,10 @@
     def accept(self, start):
         self.feed(
             StartAnswered(
-                server_id=start.server.server_id, task=start.task, run=start.run
+                server_id=start.server.server_id,
+                task=start.task,
+                run=start.run,
+                clock_ms=int(self.now_ms),
             )
         )
 
@@ -253,6 +260,26 @@
     assert second.server.server_id != start.server.server_id
 
 
+def test_an_answer_that_waits_in_a_busy_process_is_read_before_it_is_missed(owner):
+    """Pattern: an owner that is short of processor time reads answers late."""
+    owner.submit(1)
+    (start,) = owner.pop(StartRun)
+    owner.now_ms += 300.0
+    owner.accept(start)
+    assert not owner.pop(StopRun)
+
+
+def test_answers_that_came_too_late_make_the_wait_longer(owner):
+    for _ in range(50):
+        owner.core.runs.patience.note(2.0)
+    owner.submit(1)
+    (start,) = owner.pop(StartRun)
+    owner.pass_time(200.0)
+    assert owner.pop(StopRun)
+    owner.accept(start)
+    assert owner.core.runs.patience.get_ms() > 100.0
+
+
 def test_an_unanswered_start_alone_does_not_make_a_server_suspect(owner):
     owner.submit(1)
     (start,) = owner.pop(StartRun)
--- a/tests/dispatch/test_submissions.py
+++ b/tests/dispatch/test_submissions.py
@@ -3,10 +3,12 @@
 import random
 
 from buckthornshift.dispatch import (
+    Beat,
     Configuration,
     ConfigurationRead,
     DispatchCore,
     DispatchIdentity,
+    EndReason,
     HoldAnswered,
     HoldServer,
     JobEnded,
@@ -61,6 +63,10 @@
 
     def feed(self, event):
         self.take(self.core.handle(event, self.now_ms, 1.8e12 + self.now_ms))
+        if self.core.find_next_due() <= self.now_ms:
+            self.take(
+                self.core.handle(TimeAdvanced(), self.now_ms, 1.8e12 + self.now_ms)
+            )
 
     def pass_time(self, ms):
         end_ms = self.now_ms + ms
@@ -68,6 +74,10 @@
             self.now_ms += 50.0
             self.feed(TimeAdvanced())
 
+    def contact(self):
+        """Let a beat of the home come that confirms one of this instant."""
+        self.receive(Beat(sent_ms=self.now_ms, echo_ms=self.now_ms))
+
     def receive(self, message):
         self.feed(PeerReceived(address=HOME, incarnation=2, message=message))
 
@@ -90,6 +100,7 @@
 def test_a_repeat_of_what_was_given_back_is_not_started():
     """A repeat over a new link came after its home had passed the job on."""
     owner = Owner()
+    owner.contact()
     owner.core.election.term, term = 0, owner.core.election.term
     owner.receive(make_submission(attempt=1))
     (returned,) = owner.pop_ended()
@@ -103,8 +114,24 @@
 
 def test_a_new_try_at_the_same_owner_is_started():
     owner = Owner()
+    owner.contact()
     owner.core.election.term, term = 0, owner.core.election.term
     owner.receive(make_submission(attempt=1))
     owner.core.election.term = term
     owner.receive(make_submission(attempt=2))
     assert len(owner.pop(StartRun)) == 1
+
+
+def test_a_submission_that_waited_unread_is_not_started():
+    """Pattern: a busy owner reads what its home has long passed to another one."""
+    owner = Owner()
+    owner.contact()
+    owner.now_ms += 460.0
+    owner.receive(make_submission(attempt=1))
+    assert not owner.pop(StartRun)
+    (returned,) = owner.pop_ended()
+    assert returned.outcome is Outcome.RETURNED
+    assert returned.reason is EndReason.OUT_OF_CONTACT
+    owner.contact()
+    owner.receive(make_submission(attempt=2))
+    assert len(owner.pop(StartRun)) == 1
