FEA Refuse where jobs arrive while the owner is busy; tell the next owner what is known

Two changes for large fleets.

Instances that callers reached now refuse a growing part by how long messages wait at the owner, which its beats tell.

What an owner learned of servers goes to the others with the list, ages and is overwritten by the next owner's; suspicion of more than half of a zone is set aside.

--- a/buckthornshift/dispatch/_core.py
+++ b/buckthornshift/dispatch/_core.py
@@ -26,6 +26,7 @@
 from ._placing import Placing
 from ._runs import RunBook
 from ._settings import DispatchIdentity, DispatchSettings
+from ._shedding import Shedding
 from ._stopping import Stopping
 
 HOUSEKEEPING_MS = 100.0
@@ -116,6 +117,7 @@
             "n_requests": len(self.homes.by_key),
             "n_jobs": len(self.jobs.by_id),
             "n_runs": self.runs.n_open,
+            "lag_ms": round(self.shedding.lag_ms, 1),
             "peers": [_dump_peer(p) for p in self.membership.by_address.values()],
             "servers": [_dump_server(s) for s in self.fleet.by_id.values()],
             "counters": attrs.asdict(context.counters),
@@ -147,8 +149,12 @@
             runs=self.runs,
         )
         self.runs.holding = self.holding
+        self.shedding = Shedding(context=context, membership=self.membership)
         self.homes = Homes(
-            context=context, membership=self.membership, election=self.election
+            context=context,
+            membership=self.membership,
+            election=self.election,
+            shedding=self.shedding,
         )
         self.placing = Placing(
             context=context,
@@ -166,6 +172,7 @@
             self.holding,
             self.runs,
             self.jobs,
+            self.shedding,
             self.homes,
             self.stopping,
         )
--- a/buckthornshift/dispatch/_events.py
+++ b/buckthornshift/dispatch/_events.py
@@ -205,6 +205,16 @@
     """The instance was asked to stop gracefully."""
 
 
+@attrs.frozen(kw_only=True)
+class ProbeDue:
+    """A call that the process had set for a time runs now, after what came before.
+
+    :param due_ms: the time that it was set for.
+    """
+
+    due_ms: float = 0.0
+
+
 @attrs.frozen(kw_only=True)
 class TimeAdvanced:
     """Time passed; due timers run."""
--- a/buckthornshift/dispatch/_fleet.py
+++ b/buckthornshift/dispatch/_fleet.py
@@ -5,6 +5,14 @@
 import attrs
 
 from ._declarations import Resources, ServerRecord
+from ._peer_messages import ServerLesson
+
+# Part of an availability zone's servers of which more are not called suspect at once:
+# what most of a zone seems to suffer from is not the fault of its servers.
+SUSPECT_SHARE_MAX = 0.5
+# Slowness from which a server is worth telling the next owner of; kinds of servers
+# differ by less than half.
+TOLD_SLOWNESS = 1.5
 
 
 class Ownership(enum.StrEnum):
@@ -171,6 +179,54 @@
             and is_listed
         )
 
+    def list_lessons(self):
+        """Return a :class:`ServerLesson` of each server that is worse than others."""
+        now_ms = self.context.now_ms
+        lessons = []
+        for server in self.by_id.values():
+            left_ms = max(0.0, server.suspect_until_ms - now_ms)
+            if left_ms or server.n_failures or server.slowness > TOLD_SLOWNESS:
+                lessons.append(
+                    ServerLesson(
+                        server_id=server.id,
+                        suspect_left_ms=round(left_ms),
+                        n_failures=server.n_failures,
+                        slowness=round(server.slowness, 2),
+                    )
+                )
+        return tuple(lessons)
+
+    def take_lessons(self, lessons):
+        """Take over what the owner has learned; forget what it no longer says.
+
+        :param lessons: its :class:`ServerLesson` of each server that is worse.
+        """
+        told_by_id = {lesson.server_id: lesson for lesson in lessons}
+        for server in self.by_id.values():
+            lesson = told_by_id.get(server.id, ServerLesson())
+            server.suspect_until_ms = self.context.now_ms + lesson.suspect_left_ms
+            server.n_failures = lesson.n_failures
+            server.slowness = lesson.slowness
+
+    def find_suspects(self, servers):
+        """Return the suspected among some servers, zones aside that mostly are.
+
+        :param servers: the servers of a service.
+        """
+        now_ms = self.context.now_ms
+        n_by_zone, suspects_by_zone = {}, {}
+        for server in servers:
+            zone = server.record.zone
+            n_by_zone[zone] = n_by_zone.get(zone, 0) + 1
+            if server.suspect_until_ms > now_ms:
+                suspects_by_zone.setdefault(zone, set()).add(server.id)
+        return {
+            server_id
+            for zone, ids in suspects_by_zone.items()
+            if len(ids) <= max(1, SUSPECT_SHARE_MAX * n_by_zone[zone])
+            for server_id in ids
+        }
+
     def iter_open(self, service):
         """Yield the servers of a service that may get a new task now."""
         for server in self.by_id.values():
--- a/buckthornshift/dispatch/_holding.py
+++ b/buckthornshift/dispatch/_holding.py
@@ -108,6 +108,7 @@
             return
         if not self.election.is_owner:
             self._read_list(event.message.servers)
+            self.fleet.take_lessons(event.message.lessons)
             return
         known = {record.server_id for record in self.fleet.records}
         unknown = tuple(
@@ -288,7 +289,7 @@
         self._shared_ms = context.now_ms
         # Those whose entry vanished are told as well: something may run there.
         known = tuple(server.record for server in self.fleet.by_id.values())
-        message = ServersShared(servers=known)
+        message = ServersShared(servers=known, lessons=self.fleet.list_lessons())
         for peer in self.membership.list_live():
             context.emit(SendPeer(address=peer.address, message=message))
 
--- a/buckthornshift/dispatch/_homes.py
+++ b/buckthornshift/dispatch/_homes.py
@@ -53,12 +53,14 @@
     :param context: the shared :class:`DispatchContext`.
     :param membership: the :class:`Membership`.
     :param election: the :class:`Election`.
+    :param shedding: the :class:`Shedding`.
     """
 
-    def __init__(self, context=None, membership=None, election=None):
+    def __init__(self, context=None, membership=None, election=None, shedding=None):
         self.context = context
         self.membership = membership
         self.election = election
+        self.shedding = shedding
         self.by_key = {}
         self.last_answer_ms = None
         self._key_by_caller = {}
@@ -106,7 +108,8 @@
         if self._is_too_late(home_job):
             self._refuse(home_job, EndReason.STOPPING)
             return
-        self._route(home_job)
+        if not self._shed(home_job):
+            self._route(home_job)
 
     def on_caller_left(self, event):
         """Drop the job of a caller that closed its connection."""
@@ -170,8 +173,27 @@
         expected_ms = LONG_RUN_FACTOR * home_job.job.compute_chain_ms()
         return self.context.now_ms + expected_ms > self.last_answer_ms
 
-    def _refuse(self, home_job, reason):
-        retry_after_ms = self.context.settings.min_retry_after_ms
+    def _shed(self, home_job):
+        """Refuse a job if the owner is too busy to take it; return whether."""
+        owner = self.election.owner
+        if owner is None or owner[0] is None:
+            return False
+        refusal = self.shedding.check(home_job.job.job_id, owner[0])
+        if refusal is None:
+            return False
+        self.context.log(
+            LogCode.JOB_REFUSED,
+            home_job.job.job_id,
+            reason=refusal.reason,
+            detail=refusal.detail,
+            retry_after_ms=round(refusal.retry_after_ms),
+        )
+        self._refuse(home_job, refusal.reason, refusal.retry_after_ms)
+        return True
+
+    def _refuse(self, home_job, reason, retry_after_ms=None):
+        if retry_after_ms is None:
+            retry_after_ms = self.context.settings.min_retry_after_ms
         ended = JobEnded(
             outcome=Outcome.NOT_RUN, reason=reason, retry_after_ms=retry_after_ms
         )
--- a/buckthornshift/dispatch/_membership.py
+++ b/buckthornshift/dispatch/_membership.py
@@ -66,6 +66,7 @@
         self.by_address = {}
         self.describe_claim = lambda: {}
         self.is_owner = lambda: False
+        self.read_lag = lambda: 0.0
         self._has_owner = False
 
     def subscribe(self):
@@ -257,6 +258,7 @@
             zone=identity.zone,
             config_version=context.configuration.version,
             is_leaving=context.is_stopping,
+            lag_ms=round(self.read_lag(), 1),
             addresses=addresses,
             **(claim or self.describe_claim()),
         )
--- a/buckthornshift/dispatch/_peer_messages.py
+++ b/buckthornshift/dispatch/_peer_messages.py
@@ -23,6 +23,7 @@
     :param is_claim_complete: whether every listed server has accepted that term.
     :param is_eligible: whether it could own the servers.
     :param is_leaving: whether it is stopping.
+    :param lag_ms: how long what arrives at it waits to be read.
     :param held_ids: servers that a former owner has not released yet.
     :param addresses: instances that it is in contact with; empty if told before.
     """
@@ -39,6 +40,7 @@
     is_claim_complete: bool = False
     is_eligible: bool = False
     is_leaving: bool = False
+    lag_ms: float = 0.0
     held_ids: tuple[str, ...] = ()
     addresses: tuple[str, ...] = ()
 
@@ -121,14 +123,32 @@
     key: int = 0
 
 
+@attrs.frozen(kw_only=True)
+class ServerLesson:
+    """What an owner has learned of a server that is not as good as the others.
+
+    :param server_id: the server.
+    :param suspect_left_ms: for how long it is still suspected; 0 if it is not.
+    :param n_failures: failures in a row.
+    :param slowness: mean of real over estimated run times.
+    """
+
+    server_id: str = ""
+    suspect_left_ms: float = 0.0
+    n_failures: int = 0
+    slowness: float = 1.0
+
+
 @attrs.frozen(kw_only=True)
 class ServersShared:
-    """The owner shares the list of backend servers.
+    """The owner shares the list of backend servers, and what it learned of them.
 
     :param servers: the whole list.
+    :param lessons: servers that are not as good as the others.
     """
 
     servers: tuple[ServerRecord, ...] = ()
+    lessons: tuple[ServerLesson, ...] = ()
 
 
 @attrs.frozen(kw_only=True)
--- a/buckthornshift/dispatch/_placing.py
+++ b/buckthornshift/dispatch/_placing.py
@@ -62,10 +62,12 @@
             need_cpu = min(step.need.cpu for step in job.spec.steps)
             known_cpu = least_cpu_by_service.get(service, need_cpu)
             least_cpu_by_service[service] = min(known_cpu, need_cpu)
-        return {
-            service: _Room(list(self.fleet.iter_open(service)), least_cpu)
-            for service, least_cpu in least_cpu_by_service.items()
-        }
+        room_by_service = {}
+        for service, least_cpu in least_cpu_by_service.items():
+            servers = list(self.fleet.iter_open(service))
+            suspect_ids = self.fleet.find_suspects(servers)
+            room_by_service[service] = _Room(servers, least_cpu, suspect_ids)
+        return room_by_service
 
     def _give_up(self, job):
         retry_after_ms = self.context.settings.min_retry_after_ms
@@ -98,7 +100,7 @@
         fitting = [
             server
             for server in room.servers
-            if server.free.covers(task.spec.need) and self._is_trusted(server)
+            if server.free.covers(task.spec.need) and room.is_trusted(server)
         ]
         if not fitting:
             room.note_full(task.spec.need)
@@ -106,23 +108,12 @@
         allowed = [s for s in fitting if _is_allowed(task, s)]
         return min(allowed, key=lambda s: self._rank(task, s, room), default=None)
 
-    def _is_trusted(self, server):
-        """Return whether a server may get one more task.
-
-        Answers the pattern of servers that hang or fail what they start while they
-        look sound: one that is suspected gets a single task at a time, as a trial,
-        until one ends well.
-        """
-        is_suspect = server.suspect_until_ms > self.context.now_ms
-        return not is_suspect or server.is_idle
-
     def _rank(self, task, server, room):
         spec = task.spec
         is_far = bool(spec.data_rack) and spec.data_rack not in server.record.labels
-        is_suspect = server.suspect_until_ms > self.context.now_ms
         return (
             server.id in task.avoided_ids,
-            is_suspect,
+            server.id in room.suspect_ids,
             is_far,
             server.slowness > SLOW_FACTOR * room.mean_slowness,
             server.free.cpu - spec.need.cpu,
@@ -137,10 +128,12 @@
 
     :param servers: the open servers.
     :param least_cpu: least that any waiting task needs; what holds less is left out.
+    :param suspect_ids: those of the servers that are suspected.
     """
 
-    def __init__(self, servers, least_cpu):
+    def __init__(self, servers, least_cpu, suspect_ids):
         self.least_cpu = least_cpu
+        self.suspect_ids = suspect_ids
         total = sum(server.slowness for server in servers)
         self.mean_slowness = total / max(1, len(servers))
         self.servers = [
@@ -150,6 +143,15 @@
         ]
         self._full_cpu = float("inf")
 
+    def is_trusted(self, server):
+        """Return whether a server may get one more task.
+
+        Answers the pattern of servers that hang or fail what they start while they
+        look sound: one that is suspected gets a single task at a time, as a trial,
+        until one ends well.
+        """
+        return server.id not in self.suspect_ids or server.is_idle
+
     def note_start(self, server):
         """Leave a server out that a start has filled."""
         if server.free.cpu < self.least_cpu:
--- a/buckthornshift/proving/fleet/_world.py
+++ b/buckthornshift/proving/fleet/_world.py
@@ -16,6 +16,7 @@
     FollowServers,
     HoldServer,
     InstancesFound,
+    ProbeDue,
     Resources,
     SendPeer,
     ServerRecord,
@@ -31,6 +32,7 @@
 from ._oracle import FleetOracle
 
 LIST_POLL_MS = 300.0
+PROBE_MS = 50.0
 INCARNATION_BITS = 48
 STORE_MS = 4.0
 RESTART_MS = 400.0
@@ -205,6 +207,8 @@
         seeds = tuple(other.name for other in self.nodes[:3])
         self.deliver(node, node.key, InstancesFound(addresses=seeds))
         self._poll_store(node, node.key)
+        if self.plan.event_ms:
+            self._probe(node, node.key)
 
     def kill_node(self, node, restart_ms=RESTART_MS):
         """End a process without warning and start it again later."""
@@ -374,6 +378,11 @@
             node.wake_ms = None
         self.deliver(node, key, TimeAdvanced())
 
+    def _probe(self, node, key):
+        if node.core is not None and node.key == key:
+            self.deliver(node, key, ProbeDue(due_ms=self.clock.now_ms))
+            self.clock.schedule(PROBE_MS, self._probe, node, key)
+
     def _poll_store(self, node, key):
         if node.core is None or node.key != key:
             return
--- a/buckthornshift/serving/_process.py
+++ b/buckthornshift/serving/_process.py
@@ -18,6 +18,7 @@
     InstancesFound,
     LogCode,
     LogLine,
+    ProbeDue,
     SendPeer,
     StartRun,
     StopRequested,
@@ -37,6 +38,8 @@
 
 STORE_TIMEOUT_S = 0.7
 LOG_FLUSH_S = 0.1
+# Often enough to follow a burst, rare enough to cost nothing.
+PROBE_S = 0.05
 # Time for the last answers to reach their callers before the sockets close.
 CLOSE_GRACE_S = 0.1
 
@@ -79,6 +82,7 @@
         self.post(InstancesFound(addresses=tuple(settings.seeds)))
         self._follower.start()
         self._flush_log()
+        self._start_probe()
 
     def post(self, event):
         """Hand an event to the core and perform what it asks for."""
@@ -222,6 +226,14 @@
         self._timer_due_ms = None
         self.post(TimeAdvanced())
 
+    def _start_probe(self):
+        due_ms = read_now_ms() + PROBE_S * 1000.0
+        asyncio.get_running_loop().call_later(PROBE_S, self._probe, due_ms)
+
+    def _probe(self, due_ms):
+        self.post(ProbeDue(due_ms=due_ms))
+        self._start_probe()
+
     def _flush_log(self):
         self.log.flush()
         asyncio.get_running_loop().call_later(LOG_FLUSH_S, self._flush_log)
