FEA Soak: faulty links between instances and to servers, and faults in series

The soak's proxy stood before the store only. Now every instance is reached by the others, and every server by all, through a proxy of its own that delays, silences or resets; the store refuses, loses answers and forgets its history; servers slow down, fail, hang, are replaced or carry orders out late; all instances are stopped in turn or killed at once; half of the customers keep their connections.

For that an instance can listen at another address than it tells the others (`listen_peers`).

--- a/buckthornshift/cli/_soak.py
+++ b/buckthornshift/cli/_soak.py
@@ -5,7 +5,7 @@
 import attrs
 import click
 
-from ..proving.soak import Soak
+from ..proving.soak import Soak, render_soak_table
 from ._output import ExitCode, echo_json, output_option
 
 
@@ -23,7 +23,7 @@
     A seed decides jobs and faults; the machine's own timing differs from run to run.
     Exit code 7 if a promise was broken; the folder of the logs is printed.
     """
-    n_broken = 0
+    reports = []
     for seed in range(first_seed, first_seed + n_seeds):
         run = Soak(
             seed=seed,
@@ -33,7 +33,7 @@
             jobs_per_s=jobs_per_s,
         )
         report = asyncio.run(run.run())
-        n_broken += bool(report.violations)
+        reports.append(report)
         if output == "json":
             echo_json(attrs.asdict(report))
             continue
@@ -44,4 +44,7 @@
         )
         for violation in report.violations:
             click.echo(f"  {violation}", err=True)
-    raise SystemExit(int(ExitCode.VIOLATION if n_broken else ExitCode.OK))
+    if output != "json":
+        click.echo(render_soak_table(reports))
+    is_broken = any(report.violations for report in reports)
+    raise SystemExit(int(ExitCode.VIOLATION if is_broken else ExitCode.OK))
--- a/buckthornshift/proving/fleet/__init__.py
+++ b/buckthornshift/proving/fleet/__init__.py
@@ -1,7 +1,7 @@
 """Randomised runs of dispatching instances under a virtual clock, with an oracle."""
 
 from ._faults import LEAVING_SHARE, FleetFaultInjector
-from ._oracle import FleetCounts, FleetRule, FleetRuleError
+from ._oracle import FleetCounts, FleetOracle, FleetRule, FleetRuleError
 from ._plan import (
     FleetFault,
     FleetPlan,
@@ -18,6 +18,7 @@
     "FleetCounts",
     "FleetFault",
     "FleetFaultInjector",
+    "FleetOracle",
     "FleetPlan",
     "FleetResult",
     "FleetRule",
--- a/buckthornshift/proving/soak/__init__.py
+++ b/buckthornshift/proving/soak/__init__.py
@@ -1,5 +1,6 @@
 """A soak of the real programs under faults from outside."""
 
-from ._soak import Soak, SoakReport
+from ._report import SoakReport, render_soak_table
+from ._soak import Soak
 
-__all__ = ["Soak", "SoakReport"]
+__all__ = ["Soak", "SoakReport", "render_soak_table"]
--- a/buckthornshift/proving/soak/_instances.py
+++ b/buckthornshift/proving/soak/_instances.py
@@ -9,6 +9,8 @@
 
 import attrs
 
+from ._proxy import FaultyProxy
+
 RESTART_S = 0.3
 EXIT_PATIENCE_S = 8.0
 
@@ -30,6 +32,7 @@
 
     :param name: its name.
     :param ports: for callers, readiness, peers and metrics.
+    :param peer_proxy: the :class:`FaultyProxy` through which other instances reach it.
     :param settings_path: path of its settings.
     :param log_path: path of its log.
     :param process: the process, or ``None``.
@@ -40,6 +43,7 @@
 
     name: str = ""
     ports: list = attrs.field(factory=list)
+    peer_proxy: object = None
     settings_path: str = ""
     log_path: str = ""
     process: object = None
@@ -72,9 +76,15 @@
     async def start(self):
         """Write the settings and start every process."""
         ports = find_free_ports(4 * self.n_instances)
-        seeds = [f"127.0.0.1:{ports[4 * i + 2]}" for i in range(self.n_instances)]
+        proxies = []
         for index in range(self.n_instances):
-            instance = self._make(index, ports[4 * index : 4 * index + 4], seeds)
+            proxy = FaultyProxy(port=ports[4 * index + 2])
+            await proxy.start()
+            proxies.append(proxy)
+        seeds = [f"127.0.0.1:{proxy.bound_port}" for proxy in proxies]
+        for index, proxy in enumerate(proxies):
+            of_instance = ports[4 * index : 4 * index + 4]
+            instance = self._make(index, of_instance, proxy, seeds)
             self.by_name[instance.name] = instance
             await self.start_one(instance)
 
@@ -117,6 +127,8 @@
             except TimeoutError:
                 self.send(instance, signal.SIGKILL)
                 await instance.process.wait()
+        for instance in self.by_name.values():
+            instance.peer_proxy.close()
 
     async def _watch(self, instance):
         await instance.process.wait()
@@ -124,15 +136,16 @@
         if not self._is_closing:
             await self.start_one(instance)
 
-    def _make(self, index, ports, seeds):
+    def _make(self, index, ports, proxy, seeds):
         name = f"dispatcher-{index}"
-        callers, readiness, peers, metrics = (f"127.0.0.1:{port}" for port in ports)
+        callers, readiness, listen, metrics = (f"127.0.0.1:{port}" for port in ports)
         settings = {
             "name": name,
             "zone": "zone-a",
             "callers": callers,
             "readiness": readiness,
-            "peers": peers,
+            "peers": seeds[index],
+            "listen_peers": listen,
             "metrics": metrics,
             "store": self.store,
             "seeds": seeds,
@@ -143,6 +156,7 @@
         return Instance(
             name=name,
             ports=ports,
+            peer_proxy=proxy,
             settings_path=settings_path,
             log_path=os.path.join(self.folder, f"{name}.log"),
         )
--- a/buckthornshift/serving/_process.py
+++ b/buckthornshift/serving/_process.py
@@ -152,7 +152,8 @@
 
     async def _listen(self):
         settings = self.settings
-        await self._peer_server.start(*split_address(settings.peers))
+        listen_peers = settings.listen_peers or settings.peers
+        await self._peer_server.start(*split_address(listen_peers))
         await self._front.server.start(*split_address(settings.callers))
         await self._readiness.start(*split_address(settings.readiness))
         if settings.metrics:
--- a/buckthornshift/serving/_settings.py
+++ b/buckthornshift/serving/_settings.py
@@ -21,7 +21,8 @@
     :param zone: availability zone.
     :param callers: address for callers.
     :param readiness: address at which the balancer asks for readiness.
-    :param peers: address for other instances.
+    :param peers: address at which other instances reach this one.
+    :param listen_peers: address to listen at for them; empty for that of ``peers``.
     :param metrics: address for metrics and the state dump; empty for none.
     :param store: address of the platform's store.
     :param seeds: addresses of some other instances; may be stale.
@@ -37,6 +38,7 @@
     callers: str = "127.0.0.1:8161"
     readiness: str = "127.0.0.1:8167"
     peers: str = "127.0.0.1:8166"
+    listen_peers: str = ""
     metrics: str = ""
     store: str = "127.0.0.1:8169"
     seeds: tuple[str, ...] = ()
@@ -58,6 +60,8 @@
     settings = convert_value(document, ServingSettings, where)
     for name in ("callers", "readiness", "peers", "store"):
         check_address(getattr(settings, name), f"{where}.{name}")
+    if settings.listen_peers:
+        check_address(settings.listen_peers, f"{where}.listen_peers")
     return settings
 
 
--- a/buckthornshift/standins/_fleet_platform.py
+++ b/buckthornshift/standins/_fleet_platform.py
@@ -1,9 +1,12 @@
 """The platform as HTTP servers on loopback: its store and its backend servers."""
 
 import asyncio
+import random
 import time
 import urllib.parse
 
+import attrs
+
 from ..dispatch import HoldServer, Resources, ServerRecord, StartRun, StopRun
 from ..platform._server_side import (
     decode_append,
@@ -19,6 +22,8 @@
 
 LIMITS = ServerLimits(max_body_bytes=2_097_152, idle_timeout_s=60.0)
 TICK_S = 0.005
+# When a late order is carried out.
+LATE_S = (1.0, 4.0)
 SERVERS_TOPIC = "keyed.servers"
 CONFIGURATION_TOPIC = "keyed.op"
 
@@ -28,16 +33,33 @@
     return time.monotonic() * 1000.0
 
 
+@attrs.define(kw_only=True)
+class StoreFaults:
+    """What is wrong with the store.
+
+    :param is_away: whether it answers every call with 503.
+    :param refused_share: part of the calls answered with 429.
+    :param lost_share: part of the calls carried out without an answer.
+    """
+
+    is_away: bool = False
+    refused_share: float = 0.0
+    lost_share: float = 0.0
+
+
 class StoreStandin:
     """Keyed topics over HTTP.
 
     :param host: IP address.
+    :param random_state: a :class:`random.Random`, for its faults.
     """
 
-    def __init__(self, host="127.0.0.1"):
+    def __init__(self, host="127.0.0.1", random_state=None):
         self.host = host
+        self.random_state = random_state or random.Random(0)
         self.port = 0
-        self.is_away = False
+        self.faults = StoreFaults()
+        self._n_trimmed_by_topic = {}
         self._records_by_topic = {}
         self._waiting = []
         self._server = HttpServer(handler=self._handle, limits=lambda: LIMITS)
@@ -57,14 +79,23 @@
             else:
                 self._waiting.append((exchange, waited_topic, offset, timer))
 
+    def forget_history(self):
+        """Drop the records that a newer one of their key has replaced."""
+        for topic, records in self._records_by_topic.items():
+            self._n_trimmed_by_topic[topic] = len(records)
+
     def close(self):
         """Stop listening."""
         self._server.close()
 
     def _handle(self, exchange):
-        if self.is_away:
-            exchange.respond(503)
+        fate = self.random_state.random()
+        if self.faults.is_away or fate < self.faults.refused_share:
+            exchange.respond(503 if self.faults.is_away else 429)
             return
+        self._serve(exchange)
+
+    def _serve(self, exchange):
         request = exchange.request
         query = dict(urllib.parse.parse_qsl(request.query))
         topic = query.get("Topic", "")
@@ -85,6 +116,10 @@
 
     def _read(self, exchange, topic, query):
         offset = int(query["From"])
+        first = self._n_trimmed_by_topic.get(topic, 0)
+        if offset < first:
+            exchange.respond(410, b'{"First":%d}' % first)
+            return
         wait_s = int(query.get("WaitMs", 0)) / 1000.0
         if offset < len(self._records_by_topic[topic]) or not wait_s:
             self._answer_tail(exchange, topic, offset)
@@ -94,6 +129,9 @@
         self._waiting.append((exchange, topic, offset, timer))
 
     def _answer_tail(self, exchange, topic, offset):
+        if self.random_state.random() < self.faults.lost_share:
+            # The connection carries nothing more; the caller's time runs out.
+            return
         records = self._records_by_topic[topic]
         exchange.respond(200, encode_tail(records[offset:], len(records)))
 
@@ -103,27 +141,24 @@
 
     :param model: the :class:`TaskServerModel`.
     :param record: its entry; the port is filled in at the start.
+    :param random_state: a :class:`random.Random`, for its faults.
     """
 
-    def __init__(self, model=None, record=None):
+    def __init__(self, model=None, record=None, random_state=None):
         self.model = model
         self.record = record
+        self.random_state = random_state or random.Random(0)
+        self.port = 0
         self.is_silent = False
+        self.is_gone = False
+        self.late_share = 0.0
         self._waiting = []
         self._server = HttpServer(handler=self._handle, limits=lambda: LIMITS)
 
     async def start(self):
         """Listen on a free port."""
-        port = await self._server.start(self.record.host, 0)
-        self.record = ServerRecord(
-            server_id=self.record.server_id,
-            service=self.record.service,
-            host=self.record.host,
-            port=port,
-            zone=self.record.zone,
-            capacity=self.record.capacity,
-            labels=self.record.labels,
-        )
+        self.port = await self._server.start(self.record.host, 0)
+        self.record = attrs.evolve(self.record, port=self.port)
 
     def tick(self):
         """End what is due, and answer renewals that wait for it."""
@@ -145,6 +180,18 @@
             return
         request = exchange.request
         order = decode_order(request.path, request.body, self.model.server_id)
+        if self.random_state.random() < self.late_share:
+            # No answer, and carried out seconds later.
+            loop = asyncio.get_running_loop()
+            loop.call_later(
+                self.random_state.uniform(*LATE_S), self._execute, None, order
+            )
+            return
+        self._execute(exchange, order)
+
+    def _execute(self, exchange, order):
+        if self.is_gone:
+            return
         now_ms = read_clock_ms()
         match order:
             case StartRun():
@@ -153,14 +200,18 @@
                 self._respond(exchange, self.model.stop(order, now_ms), False)
             case HoldServer():
                 answer = self.model.hold(order, now_ms)
+                if exchange is None:
+                    return
                 if order.wait_ms and answer.verdict == "done" and not answer.ended:
                     self._waiting.append((exchange, now_ms + order.wait_ms))
                     return
                 self._respond(exchange, answer, True)
-            case _:
+            case _ if exchange is not None:
                 exchange.respond(404)
 
     def _respond(self, exchange, answer, is_hold):
+        if exchange is None:
+            return
         status, body = encode_answer(answer, is_hold)
         exchange.respond(status, body)
 
@@ -174,6 +225,8 @@
     :param plan_run: called with a task's name; returns its duration in ms and
         whether it fails.
     :param observer: told of each begin and end of a run.
+    :param open_front: called with a server's port; returns the port to list for it.
+    :param random_state: a :class:`random.Random`, for faults.
     """
 
     def __init__(
@@ -183,14 +236,20 @@
         n_servers=6,
         plan_run=None,
         observer=None,
+        open_front=None,
+        random_state=None,
     ):
         self.configuration = configuration
         self.service = service
         self.n_servers = n_servers
         self.plan_run = plan_run
         self.observer = observer
-        self.store = StoreStandin()
+        self.open_front = open_front
+        self.random_state = random_state or random.Random(0)
+        self.store = StoreStandin(random_state=self.random_state)
         self.servers_by_id = {}
+        self.record_by_id = {}
+        self._n_lives = 0
         self._ticker = None
 
     async def start(self):
@@ -209,7 +268,8 @@
 
     async def add_server(self, index):
         """Start a server and list it."""
-        server_id = f"i-{len(self.servers_by_id):04d}"
+        self._n_lives += 1
+        server_id = f"i-{self._n_lives:04d}"
         capacity = Resources(cpu=16_000, memory_mb=32_768)
         model = TaskServerModel(
             server_id=server_id,
@@ -227,10 +287,30 @@
             capacity=capacity,
             labels=("a",),
         )
-        server = TaskServerStandin(model=model, record=record)
+        server = TaskServerStandin(
+            model=model, record=record, random_state=self.random_state
+        )
         await server.start()
+        if self.open_front is not None:
+            port = await self.open_front(server.port)
+            server.record = attrs.evolve(server.record, port=port)
         self.servers_by_id[server_id] = server
-        self.store.put(SERVERS_TOPIC, server_id, encode_server(server.record))
+        self.list_server(server)
+
+    def list_server(self, server):
+        """Write the entry of a server into the store."""
+        record = server.record
+        self.record_by_id[record.server_id] = record
+        self.store.put(SERVERS_TOPIC, record.server_id, encode_server(record))
+
+    def kill_server(self, server):
+        """End a server without warning, and drop its entry."""
+        self.servers_by_id.pop(server.record.server_id, None)
+        server.is_gone = True
+        server.model.advance(read_clock_ms())
+        server.model.end_all()
+        server.close()
+        self.store.put(SERVERS_TOPIC, server.record.server_id, b"")
 
     def close(self):
         """Stop everything."""
@@ -242,6 +322,6 @@
 
     async def _tick(self):
         while True:
-            for server in self.servers_by_id.values():
+            for server in list(self.servers_by_id.values()):
                 server.tick()
             await asyncio.sleep(TICK_S)
--- a/tests/load/fleet/test_site_load.py
+++ b/tests/load/fleet/test_site_load.py
@@ -21,7 +21,7 @@
     summarize,
     write_fleet_results,
 )
-from buckthornshift.load.fleet._bound import compute_bound
+from buckthornshift.load.fleet._bound import compute_bound, weigh_task
 from buckthornshift.load.fleet._traffic import draw_traffic
 from buckthornshift.proving.fleet import FleetFault, PlannedFault
 
@@ -91,6 +91,19 @@
     assert compute_bound(plan) == pytest.approx(1.0)
 
 
+@pytest.mark.parametrize("n_fit", [2, 3])
+def test_tasks_that_fit_together_weigh_one_at_most(n_fit):
+    random_state = random.Random(1)
+    for _ in range(2_000):
+        left, weight = 24_000, 0.0
+        while (need := random_state.randint(1, 24_000)) <= left:
+            left -= need
+            weight += weigh_task(need, 24_000, n_fit)
+        assert weight <= 1.0 + 1e-9
+    assert weigh_task(8_000, 24_000, 3) == pytest.approx(1 / 3)
+    assert weigh_task(9_000, 24_000, 2) == 0.5
+
+
 def test_policies_meet_the_same_requests():
     experiment = FleetExperiment(
         length_s=2.0, policies={"default": {}, "patient": {"lost_after_ms": 900.0}}
