FIX A home out of contact joins no job of another; MNT one reader of result files

Cause: the check of contact came after the look for a known job. A home that the owner had lost could join a job that runs for another one; when that one left, the job went on for a home that may have passed it to another owner. Found by reading; the test failed first.

Result files of both kinds of load are read and written in one place.

--- a/buckthornshift/cli/_load.py
+++ b/buckthornshift/cli/_load.py
@@ -12,7 +12,7 @@
     read_results,
     render_comparison,
     render_results,
-    write_results,
+    write_result_file,
 )
 from ._load_site import site
 from ._output import (
@@ -64,7 +64,7 @@
                 load_run.system = ExternalSystem(platform=platform)
             results.append(await _run_one(load_run))
     if out:
-        write_results(out, results)
+        write_result_file(out, results)
     if output == "json":
         echo_json(results)
     else:
--- a/buckthornshift/cli/_load_site.py
+++ b/buckthornshift/cli/_load_site.py
@@ -5,13 +5,13 @@
 
 from ..contracts import BuckthornshiftError
 from ..documents import read_text
+from ..load import write_result_file
 from ..load.fleet import (
     parse_fleet_experiment,
     read_fleet_results,
     render_fleet_comparison,
     render_fleet_results,
     run_other_version,
-    write_fleet_results,
 )
 from ._output import ExitCode, report_error
 
@@ -43,7 +43,7 @@
     except BuckthornshiftError as error:
         raise SystemExit(int(report_error(error))) from error
     if out:
-        write_fleet_results(out, results)
+        write_result_file(out, results)
     is_clean = not any(result.violation for result in results)
     raise SystemExit(int(ExitCode.OK if is_clean else ExitCode.VIOLATION))
 
--- a/buckthornshift/dispatch/_owner_jobs.py
+++ b/buckthornshift/dispatch/_owner_jobs.py
@@ -167,16 +167,16 @@
         if waiter in self._ended_by_waiter:
             self._send(waiter, self._ended_by_waiter[waiter][1])
             return
-        known = self.by_id.get(message.job.job_id)
-        if known is not None and not known.is_ended:
-            others = [w for w in known.waiters if not waiter.is_same_submission(w)]
-            known.waiters = [*others, waiter]
-            return
         if not self.membership.is_live(waiter.address, waiter.incarnation):
             # It waited here unread, or its sender is being lost: by the time that
             # it started, the sender could have passed it to another owner.
             self._give_back(waiter, EndReason.OUT_OF_CONTACT)
             return
+        known = self.by_id.get(message.job.job_id)
+        if known is not None and not known.is_ended:
+            others = [w for w in known.waiters if not waiter.is_same_submission(w)]
+            known.waiters = [*others, waiter]
+            return
         if not self.election.is_owner:
             self._give_back(waiter, EndReason.NOT_OWNER)
             return
--- a/buckthornshift/load/__init__.py
+++ b/buckthornshift/load/__init__.py
@@ -13,12 +13,8 @@
 )
 from ._real_run import RealRun
 from ._recorder import LoadResult, MessageCounts, Recorder, SystemCounts
-from ._report import (
-    read_results,
-    render_comparison,
-    render_results,
-    write_results,
-)
+from ._report import read_results, render_comparison, render_results
+from ._result_files import write_result_file
 from ._virtual_run import VirtualRun
 
 __all__ = [
@@ -44,5 +40,5 @@
     "read_results",
     "render_comparison",
     "render_results",
-    "write_results",
+    "write_result_file",
 ]
--- a/buckthornshift/load/_report.py
+++ b/buckthornshift/load/_report.py
@@ -1,38 +1,14 @@
 """Readable tables and comparisons of load results."""
 
-import msgspec
-
-from ..contracts import InvalidInputError, convert_value
-from ..documents import read_text
 from ._recorder import LoadResult
+from ._result_files import read_result_file
 
 NO_VALUE = "-"
 
 
 def read_results(path):
-    """Return the results in a file.
-
-    :param path: path of a JSON result file.
-    :raises InvalidInputError: if it is no such file.
-    """
-    try:
-        value = msgspec.json.decode(read_text(path))
-    except msgspec.DecodeError as error:
-        raise InvalidInputError(
-            where=str(path), got=str(error), expected="a JSON result file"
-        ) from error
-    return convert_value(value, tuple[LoadResult, ...], str(path))
-
-
-def write_results(path, results):
-    """Write results to a JSON file.
-
-    :param path: path of the file.
-    :param results: list of :class:`LoadResult`.
-    """
-    body = msgspec.json.format(msgspec.json.encode(results))
-    with open(path, "wb") as file:
-        file.write(body + b"\n")
+    """Return the :class:`LoadResult` of each run in a file."""
+    return read_result_file(path, LoadResult)
 
 
 def render_results(results):
--- a/buckthornshift/load/fleet/__init__.py
+++ b/buckthornshift/load/fleet/__init__.py
@@ -19,7 +19,6 @@
     group_records,
     read_fleet_results,
     summarize,
-    write_fleet_results,
 )
 from ._sites import SITES_BY_NAME, RequestKind, Site
 
@@ -42,5 +41,4 @@
     "render_fleet_results",
     "run_other_version",
     "summarize",
-    "write_fleet_results",
 ]
--- a/buckthornshift/load/fleet/_records.py
+++ b/buckthornshift/load/fleet/_records.py
@@ -3,10 +3,8 @@
 import enum
 
 import attrs
-import msgspec
 
-from ...contracts import InvalidInputError, convert_value
-from ...documents import read_text
+from .._result_files import read_result_file
 
 LARGEST_SHARE = 0.1
 LARGE_SHARE = 0.3
@@ -174,26 +172,6 @@
     return choose
 
 
-def write_fleet_results(path, results):
-    """Write results to a JSON file.
-
-    :param path: path of the file.
-    :param results: list of :class:`FleetLoadResult`.
-    """
-    with open(path, "wb") as file:
-        file.write(msgspec.json.encode(results) + b"\n")
-
-
 def read_fleet_results(path):
-    """Return the results in a file.
-
-    :param path: path of a JSON result file.
-    :raises InvalidInputError: if it is no such file.
-    """
-    try:
-        value = msgspec.json.decode(read_text(path))
-    except msgspec.DecodeError as error:
-        raise InvalidInputError(
-            where=str(path), got=str(error), expected="a JSON result file"
-        ) from error
-    return convert_value(value, tuple[FleetLoadResult, ...], str(path))
+    """Return the :class:`FleetLoadResult` of each run in a file."""
+    return read_result_file(path, FleetLoadResult)
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -6,7 +6,7 @@
 from click.testing import CliRunner
 
 from buckthornshift.cli import main
-from buckthornshift.load import LoadResult, read_results, write_results
+from buckthornshift.load import LoadResult, read_results, write_result_file
 
 
 def run(*args):
@@ -108,7 +108,7 @@
 
 def test_results_survive_a_file(tmp_path):
     path = tmp_path / "r.json"
-    write_results(path, [LoadResult(name="x", n_jobs=3)])
+    write_result_file(path, [LoadResult(name="x", n_jobs=3)])
     assert read_results(path)[0].n_jobs == 3
 
 
--- a/tests/dispatch/test_submissions.py
+++ b/tests/dispatch/test_submissions.py
@@ -34,8 +34,8 @@
         """Let a beat of the home come that confirms one of this instant."""
         self.receive(Beat(sent_ms=self.now_ms, echo_ms=self.now_ms))
 
-    def receive(self, message):
-        self.feed(PeerReceived(address=HOME, incarnation=2, message=message))
+    def receive(self, message, address=HOME):
+        self.feed(PeerReceived(address=address, incarnation=2, message=message))
 
     def pop_ended(self):
         sent = self.pop(SendPeer)
@@ -86,3 +86,15 @@
     owner.contact()
     owner.receive(make_submission(attempt=2))
     assert len(owner.pop(StartRun)) == 1
+
+
+def test_a_home_out_of_contact_joins_no_job_of_another():
+    """When the other one left, the job would go on for a home that is lost."""
+    owner = Owner()
+    owner.contact()
+    owner.receive(make_submission(attempt=1))
+    owner.receive(make_submission(attempt=1), address="lost:1")
+    (returned,) = owner.pop_ended()
+    assert returned.reason is EndReason.OUT_OF_CONTACT
+    (job,) = owner.core.jobs.list_open()
+    assert [waiter.address for waiter in job.waiters] == [HOME]
--- a/tests/load/fleet/test_site_load.py
+++ b/tests/load/fleet/test_site_load.py
@@ -7,6 +7,7 @@
 
 from buckthornshift.contracts import InvalidInputError
 from buckthornshift.dispatch import DispatchSettings
+from buckthornshift.load import write_result_file
 from buckthornshift.load.fleet import (
     SITES_BY_NAME,
     Fate,
@@ -19,7 +20,6 @@
     render_fleet_comparison,
     render_fleet_results,
     summarize,
-    write_fleet_results,
 )
 from buckthornshift.load.fleet._bound import compute_bound, weigh_task
 from buckthornshift.load.fleet._traffic import draw_traffic
@@ -116,7 +116,7 @@
 def test_results_survive_a_file_and_can_be_read(quiet, tmp_path):
     _, result = quiet
     path = tmp_path / "results.json"
-    write_fleet_results(path, [result])
+    write_result_file(path, [result])
     (again,) = read_fleet_results(path)
     assert again == result
     text = render_fleet_results([again])
