--- a/tools/make_capacity_page.py
+++ b/tools/make_capacity_page.py
@@ -84,9 +84,16 @@
     return (jc * ss - sc * js) / determinant, (sc * jj - jc * js) / determinant
 
 
+def render_figure(value):
+    """Return a figure with as many digits as say something."""
+    if abs(value) >= 100.0 or value == 0.0:
+        return f"{value:,.0f}"
+    return f"{value:.3g}"
+
+
 def render_points(points, key):
     """Return measured points as text."""
-    return ", ".join(f"{p['size']:,}: {p[key]:,.0f}" for p in points)
+    return ", ".join(f"{p['size']:,}: {render_figure(p[key])}" for p in points)
 
 
 def render_page(data):
@@ -222,7 +229,8 @@
     for (series, key), slope in slopes.items():
         lines.append(
             f"| {series} | {key} | {render_points(data[series], key)} "
-            f"| {slope.base:,.1f} | {slope.per_unit:,.3f} | {slope.fit:.3f} |"
+            f"| {render_figure(slope.base)} | {render_figure(slope.per_unit)} "
+            f"| {slope.fit:.3f} |"
         )
     lines.append("")
     return "\n".join(lines)
--- a/tools/measure_dispatch.py
+++ b/tools/measure_dispatch.py
@@ -34,11 +34,11 @@
 
     def _wrap(self, name, handle):
         def timed(*args):
-            start_ns = time.perf_counter_ns()
+            start_ns = time.thread_time_ns()
             try:
                 return handle(*args)
             finally:
-                spent_ns = time.perf_counter_ns() - start_ns
+                spent_ns = time.thread_time_ns() - start_ns
                 self.ns_by_name[name] = self.ns_by_name.get(name, 0) + spent_ns
 
         return timed
