--- a/buckthornshift/load/fleet/_stages.py
+++ b/buckthornshift/load/fleet/_stages.py
@@ -27,7 +27,8 @@
 class StageClock:
     """Note the moments of jobs, and turn them into stages.
 
-    It observes the servers in place of the oracle, which it tells of everything.
+    It observes the servers of a world that has not started, and tells the oracle of
+    everything.
 
     :param world: the :class:`~buckthornshift.proving.fleet.FleetWorld`.
     """
@@ -36,10 +37,7 @@
         self.world = world
         self.by_job = {}
         self._ordered_tasks = set()
-        self._note_begin = world.oracle.note_begin
-        self._note_end = world.oracle.note_end
-        world.oracle.note_begin = self.note_begin
-        world.oracle.note_end = self.note_end
+        world.observer = self
         world.on_log = self.note_log
 
     def note_sent(self, job_id):
@@ -48,12 +46,12 @@
 
     def note_begin(self, server, run, order):
         """Note that a server began a task."""
-        self._note_begin(server, run, order)
+        self.world.oracle.note_begin(server, run, order)
         self._find(run.task).begun = self.world.clock.now_ms
 
     def note_end(self, server, run, kind):
         """Note how a run ended."""
-        self._note_end(server, run, kind)
+        self.world.oracle.note_end(server, run, kind)
         if kind == "done":
             self._find(run.task).ended = self.world.clock.now_ms
 
--- a/buckthornshift/proving/fleet/_world.py
+++ b/buckthornshift/proving/fleet/_world.py
@@ -53,6 +53,7 @@
         self.random_state = random.Random(plan.seed)
         self.network = FleetNetwork(world=self)
         self.oracle = FleetOracle(world=self)
+        self.observer = self.oracle
         self.nodes = [
             Node(name=f"n{i}:1", zone=self._name_zone(i)) for i in range(plan.n_nodes)
         ]
@@ -96,7 +97,7 @@
             clock_rate=self.random_state.choice((1.0, 0.99, 0.98)),
             clock_start_ms=self.random_state.uniform(0.0, 1e6),
             plan_run=lambda task: self.plan_run(task),
-            observer=self.oracle,
+            observer=self.observer,
         )
         server = ServerNode(
             name=name, zone=zone, model=model, index=index, record=record
