--- a/buckthornshift/cli/_soak.py
+++ b/buckthornshift/cli/_soak.py
@@ -1,6 +1,7 @@
 """The ``soak`` command: real processes under faults from outside."""
 
 import asyncio
+import signal
 
 import attrs
 import click
@@ -32,7 +33,10 @@
             n_servers=servers,
             jobs_per_s=jobs_per_s,
         )
-        report = asyncio.run(run.run())
+        try:
+            report = asyncio.run(_run_to_end(run))
+        except asyncio.CancelledError:
+            raise click.Abort() from None
         reports.append(report)
         if output == "json":
             echo_json(attrs.asdict(report))
@@ -48,3 +52,10 @@
         click.echo(render_soak_table(reports))
     is_broken = any(report.violations for report in reports)
     raise SystemExit(int(ExitCode.VIOLATION if is_broken else ExitCode.OK))
+
+
+async def _run_to_end(run):
+    """Run a soak; a request to stop ends its processes first."""
+    task = asyncio.ensure_future(run.run())
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    return await task
