ENH The part refused by a busy owner is chosen by a hash of the job's id

The remainder of the id refuses ids that count up in runs, and so whole moments of one caller's requests.

--- a/buckthornshift/dispatch/_shedding.py
+++ b/buckthornshift/dispatch/_shedding.py
@@ -1,5 +1,7 @@
 """Refuse jobs where they arrive while the owner is short of processor time."""
 
+import hashlib
+
 from ._admission import JobRefusal
 from ._events import ProbeDue
 from ._peer_messages import EndReason
@@ -13,8 +15,6 @@
 LAG_HIGH_MS = 120.0
 # When to come back: the wait is measured, told and worked off in this time.
 RETRY_FACTOR = 4.0
-# A prime, so that ids that count up spread over all shares.
-N_SHARES = 1_009
 
 
 class Shedding:
@@ -52,7 +52,7 @@
         """
         lag_ms = self._read_owner_lag(owner_address)
         share = (lag_ms - LAG_LOW_MS) / (LAG_HIGH_MS - LAG_LOW_MS)
-        if int.from_bytes(job_id.encode()) % N_SHARES >= share * N_SHARES:
+        if _draw_share(job_id) >= share:
             return None
         least_ms = self.context.settings.min_retry_after_ms
         return JobRefusal(
@@ -66,3 +66,9 @@
             return self.lag_ms
         peer = self.membership.by_address.get(address)
         return 0.0 if peer is None else peer.beat.lag_ms
+
+
+def _draw_share(job_id):
+    """Return a number from 0 to 1 that belongs to a job at every instance."""
+    digest = hashlib.blake2b(job_id.encode(), digest_size=4).digest()
+    return int.from_bytes(digest) / 2**32
