--- a/buckthornshift/load/_experiment.py
+++ b/buckthornshift/load/_experiment.py
@@ -2,10 +2,11 @@
 
 import attrs
 
-from ..contracts import InvalidInputError, check_unknown_keys, convert_value
+from ..contracts import check_unknown_keys, convert_value
 from ..core import CoreSettings, LeastLoaded, RandomServer, RoundRobin
 from ..documents import parse_json_with_comments
 from ..proving import Fault
+from ._declared import check_choice, check_length_s
 from ._load_plan import LoadPlan
 from ._local_system import SystemShape
 from ._profiles import PROFILES_BY_NAME
@@ -68,16 +69,11 @@
         for index, fault in enumerate(value.get("faults", ())):
             check_unknown_keys(fault, Fault, f"{where}.faults[{index}]")
     experiment = convert_value(value, Experiment, where)
-    _check_choice(experiment.profile, PROFILES_BY_NAME, f"{where}.profile")
-    _check_choice(experiment.clock, ("virtual", "real"), f"{where}.clock")
+    check_choice(experiment.profile, PROFILES_BY_NAME, f"{where}.profile")
+    check_choice(experiment.clock, ("virtual", "real"), f"{where}.clock")
     for policy in experiment.policies:
-        _check_choice(policy, POLICIES_BY_NAME, f"{where}.policies")
-    if not 0 < experiment.length_s <= MAX_LENGTH_S:
-        raise InvalidInputError(
-            where=f"{where}.length_s",
-            got=str(experiment.length_s),
-            expected=f"above 0, up to {MAX_LENGTH_S:g}",
-        )
+        check_choice(policy, POLICIES_BY_NAME, f"{where}.policies")
+    check_length_s(experiment.length_s, MAX_LENGTH_S, f"{where}.length_s")
     return experiment
 
 
@@ -110,10 +106,3 @@
         core_settings=core_settings,
     )
     return run_class(load_plan=load_plan)
-
-
-def _check_choice(value, choices, where):
-    if value not in choices:
-        raise InvalidInputError(
-            where=where, got=repr(value), expected=f"one of {', '.join(choices)}"
-        )
--- a/buckthornshift/load/fleet/_fleet_experiment.py
+++ b/buckthornshift/load/fleet/_fleet_experiment.py
@@ -11,6 +11,7 @@
 from ...dispatch import DispatchSettings
 from ...documents import parse_json_with_comments
 from ...proving.fleet import FleetFault, PlannedFault
+from .._declared import check_choice, check_length_s
 from ._fleet_load import FleetLoad, FleetLoadPlan
 from ._records import FleetLoadResult
 from ._sites import SITES_BY_NAME
@@ -118,17 +119,12 @@
         for index, fault in enumerate(value.get("faults", ())):
             check_unknown_keys(fault, DeclaredFault, f"{where}.faults[{index}]")
     experiment = convert_value(value, FleetExperiment, where)
-    _check_choice(experiment.site, SITES_BY_NAME, f"{where}.site")
+    check_choice(experiment.site, SITES_BY_NAME, f"{where}.site")
     for index, fault in enumerate(experiment.faults):
         kinds = [kind.value for kind in FleetFault]
-        _check_choice(fault.kind, kinds, f"{where}.faults[{index}].kind")
+        check_choice(fault.kind, kinds, f"{where}.faults[{index}].kind")
     _check_policies(experiment, where)
-    if not 0 < experiment.length_s <= MAX_LENGTH_S:
-        raise InvalidInputError(
-            where=f"{where}.length_s",
-            got=str(experiment.length_s),
-            expected=f"above 0, up to {MAX_LENGTH_S:g}",
-        )
+    check_length_s(experiment.length_s, MAX_LENGTH_S, f"{where}.length_s")
     return experiment
 
 
@@ -178,13 +174,4 @@
     known = {field.name for field in attrs.fields(DispatchSettings)}
     for policy, changes in experiment.policies.items():
         for name in changes:
-            _check_choice(name, known, f"{where}.policies.{policy}")
-
-
-def _check_choice(value, choices, where):
-    if value not in choices:
-        raise InvalidInputError(
-            where=where,
-            got=repr(value),
-            expected=f"one of {', '.join(sorted(choices))}",
-        )
+            check_choice(name, known, f"{where}.policies.{policy}")
