FIX Instances in contact do not dial each other anew

Cause: a link was dialled again by the age of the last beat that was confirmed. Idle pairs beat every 500 ms, so that age reaches 1,000 ms, above the patience of 800 and 950 ms: 1,482 dials a second at 40 instances without load, and lines of PEER_LOST between them. Now it is the time since a confirmation came that counts, the patience covers two idle beats, and one that was never heard is dialled ever less, up to every 1.6 s.

--- a/buckthornshift/dispatch/_membership.py
+++ b/buckthornshift/dispatch/_membership.py
@@ -14,6 +14,12 @@
 
 FORGET_AFTER_MS = 10_000.0
 SHARE_AGAIN_MS = 1_000.0
+# Doublings of the pause before one that was never heard is dialled again, up to
+# 1.6 s: many instances that start on few cores else keep each other from answering.
+MAX_DIAL_DOUBLINGS = 3
+# A beat of an idle pair is confirmed by the other side's next one, and a newer one by
+# the one after that.
+IDLE_BEATS_TO_CONFIRM = 2.0
 
 
 @attrs.define(kw_only=True)
@@ -25,8 +31,10 @@
     :param beat: the last beat received.
     :param heard_ms: when that came.
     :param confirmed_ms: latest own beat that it confirmed, by when that was sent.
+    :param progressed_ms: when the last confirmation of a newer beat came.
     :param beaten_ms: when the last own beat was sent.
     :param dialled_ms: when the connection was last asked for.
+    :param n_unheard_dials: dials since it was last heard or found.
     :param found_ms: when its address became known.
     :param shared_ms: when the configuration was last given to it.
     :param n_told: number of addresses that it was last told.
@@ -38,8 +46,10 @@
     beat: Beat = Beat()
     heard_ms: float | None = None
     confirmed_ms: float | None = None
+    progressed_ms: float = -1e9
     beaten_ms: float = -1e9
     dialled_ms: float = -1e9
+    n_unheard_dials: int = 0
     found_ms: float = 0.0
     shared_ms: float = -1e9
     n_told: int = -1
@@ -147,6 +157,7 @@
 
     def _dial(self, peer):
         peer.dialled_ms = self.context.now_ms
+        peer.n_unheard_dials += 1
         self.context.emit(DialPeer(address=peer.address))
 
     def _take_incarnation(self, peer, event):
@@ -165,11 +176,13 @@
             return
         peer.beat = beat
         peer.heard_ms = context.now_ms
+        peer.n_unheard_dials = 0
         if beat.echo_ms >= 0:
             confirmed_ms = peer.confirmed_ms
             is_newer = confirmed_ms is None or beat.echo_ms > confirmed_ms
             if is_newer and beat.echo_ms <= context.now_ms:
                 peer.confirmed_ms = beat.echo_ms
+                peer.progressed_ms = context.now_ms
         for address in beat.addresses:
             self._add(address)
         self._share_configuration(peer)
@@ -213,14 +226,16 @@
         self.context.emit(ForgetPeer(address=peer.address))
 
     def _redial_if_silent(self, peer):
+        # A link on which confirmations come is slow at worst, however old they are.
         context = self.context
-        seen_ms = max(peer.dialled_ms, peer.confirmed_ms or peer.dialled_ms)
+        seen_ms = max(peer.dialled_ms, peer.progressed_ms)
         patience_ms = context.settings.redial_after_ms
         if peer.confirmed_ms is None:
             # It may not have listened yet when it was dialled first.
-            patience_ms = 2.0 * context.settings.beat_ms
+            n_doublings = min(max(0, peer.n_unheard_dials - 1), MAX_DIAL_DOUBLINGS)
+            patience_ms = 2.0 * context.settings.beat_ms * 2**n_doublings
         if self._choose_interval(peer) > context.settings.beat_ms:
-            patience_ms += context.settings.idle_beat_ms
+            patience_ms += IDLE_BEATS_TO_CONFIRM * context.settings.idle_beat_ms
         if context.now_ms - seen_ms > patience_ms:
             self._dial(peer)
 
@@ -236,9 +251,11 @@
 
     def _choose_patience(self, peer):
         settings = self.context.settings
-        is_idle_pair = not peer.beat.claim_term and not self.is_owner()
-        extra_ms = settings.idle_beat_ms if is_idle_pair else 0.0
-        return settings.lost_after_ms + extra_ms
+        if peer.beat.claim_term or self.is_owner():
+            return settings.lost_after_ms
+        # Without an owner everybody beats often, but some learn of it later.
+        n_beats = IDLE_BEATS_TO_CONFIRM if self._has_owner else 1.0
+        return settings.lost_after_ms + n_beats * settings.idle_beat_ms
 
     def _beat(self, peer, claim=None):
         context = self.context
