ENH The owner tells its list of servers once, then what changes

Every 2 s the owner sent its whole list to every other instance: 26,297 bytes for 175 servers, 1.03 MB for 39 others, 82 ms of a link of 100 Mbit/s, with the orders to servers behind it.

Now an instance gets the whole list when it lacks it (new, a new connection, contact lost), four of them a beat and rivals first, and changes at once; lessons go alone.

--- a/buckthornshift/dispatch/_core.py
+++ b/buckthornshift/dispatch/_core.py
@@ -20,6 +20,7 @@
     RunGone,
     ServersChanged,
 )
+from ._list_sharing import ListSharing
 from ._membership import Membership
 from ._owner_jobs import OwnerJobs
 from ._peer_messages import ConfigurationShared
@@ -141,12 +142,19 @@
             durations=self.durations,
         )
         self.runs = RunBook(context=context, fleet=self.fleet, jobs=self.jobs)
+        self.sharing = ListSharing(
+            context=context,
+            fleet=self.fleet,
+            membership=self.membership,
+            election=self.election,
+        )
         self.holding = Holding(
             context=context,
             fleet=self.fleet,
             membership=self.membership,
             election=self.election,
             runs=self.runs,
+            sharing=self.sharing,
         )
         self.runs.holding = self.holding
         self.shedding = Shedding(context=context, membership=self.membership)
@@ -170,6 +178,7 @@
             self.membership,
             self.election,
             self.holding,
+            self.sharing,
             self.runs,
             self.jobs,
             self.shedding,
--- a/buckthornshift/dispatch/_holding.py
+++ b/buckthornshift/dispatch/_holding.py
@@ -1,6 +1,6 @@
 """Taking servers over, renewing leases, reading ends, giving servers back."""
 
-from ._actions import FollowServers, ForgetServer, HoldServer, LogCode, SendPeer
+from ._actions import FollowServers, ForgetServer, HoldServer, LogCode
 from ._election import TOKEN_RANDOM_BITS, make_token
 from ._events import EndKind, HoldAnswered, PeerReceived, ServersRead, Verdict
 from ._fleet import Ownership
@@ -15,9 +15,8 @@
     ServersChanged,
 )
 from ._jobs import Run, RunPhase
-from ._peer_messages import ServersShared
+from ._peer_messages import LessonsShared, ServersShared
 
-SHARE_LIST_MS = 2_000.0
 FORGET_UNLISTED_MS = 15_000.0
 # An unacknowledged end on an idle server is acknowledged after this time; well
 # inside the platform's bound for taking note of ends, and rarely without company.
@@ -32,17 +31,24 @@
     :param membership: the :class:`Membership`.
     :param election: the :class:`Election`.
     :param runs: the :class:`RunBook`, told of ends and losses.
+    :param sharing: the :class:`ListSharing`.
     """
 
     def __init__(
-        self, context=None, fleet=None, membership=None, election=None, runs=None
+        self,
+        context=None,
+        fleet=None,
+        membership=None,
+        election=None,
+        runs=None,
+        sharing=None,
     ):
         self.context = context
         self.fleet = fleet
         self.membership = membership
         self.election = election
         self.runs = runs
-        self._shared_ms = -1e9
+        self.sharing = sharing
         self._is_yielding = False
         election.has_servers = lambda: bool(fleet.by_id)
         election.list_held = self.list_held
@@ -80,7 +86,6 @@
         self.context.emit(FollowServers(is_on=True))
         for server in self.fleet.by_id.values():
             self._take(server)
-        self._share_list()
 
     def on_claim_ended(self, message):
         """Release idle servers at once, the others when their runs have ended."""
@@ -96,29 +101,20 @@
     def on_servers_read(self, event):
         """Take over a list that was read from the store."""
         self._read_list(event.servers)
-        if self.election.is_owner:
-            self._share_list()
+        self.sharing.share()
 
     def on_peer(self, event):
-        """Take over a list that the owner shares.
+        """Take over what the owner tells of the servers.
 
         An owner adds what only a rival knows: something may run there.
         """
-        if not isinstance(event.message, ServersShared):
-            return
-        if not self.election.is_owner:
-            self._read_list(event.message.servers)
-            self.fleet.take_lessons(event.message.lessons)
-            return
-        known = {record.server_id for record in self.fleet.records}
-        unknown = tuple(
-            record
-            for record in event.message.servers
-            if record.server_id not in known
-            and record.server_id not in self.fleet.by_id
-        )
-        if unknown:
-            self._read_list((*self.fleet.records, *unknown))
+        match event.message:
+            case ServersShared() if self.election.is_owner:
+                self._add_unknown(event.message.servers)
+            case ServersShared():
+                self._read_list(self._merge(event.message))
+            case LessonsShared(lessons=lessons) if not self.election.is_owner:
+                self.fleet.take_lessons(lessons)
 
     def on_peer_lost(self, message):
         """Take the servers that a lost instance still held."""
@@ -143,7 +139,6 @@
 
     def on_housekeeping(self, message):
         """Renew idle servers' clocks, acknowledge ends, forget what is gone."""
-        context = self.context
         for server in list(self.fleet.by_id.values()):
             self._forget_if_gone(server)
             is_ours = server.ownership in (Ownership.OWNED, Ownership.YIELDING)
@@ -152,9 +147,6 @@
             if not server.is_idle or self._is_look_due(server):
                 self.hold(server)
         if self.election.is_owner:
-            is_due = context.now_ms - self._shared_ms > SHARE_LIST_MS
-            if is_due:
-                self._share_list()
             self._check_complete()
 
     def on_adoption_over(self, message):
@@ -281,17 +273,30 @@
         for server in vanished:
             context.log(LogCode.SERVER_UNLISTED, server.id)
         if added or changed or vanished:
-            self._shared_ms = -1e9
             context.post(ServersChanged())
 
-    def _share_list(self):
-        context = self.context
-        self._shared_ms = context.now_ms
-        # Those whose entry vanished are told as well: something may run there.
-        known = tuple(server.record for server in self.fleet.by_id.values())
-        message = ServersShared(servers=known, lessons=self.fleet.list_lessons())
-        for peer in self.membership.list_live():
-            context.emit(SendPeer(address=peer.address, message=message))
+    def _merge(self, message):
+        """Return the list that results from what the owner tells."""
+        if message.is_whole:
+            return message.servers
+        record_by_id = {record.server_id: record for record in self.fleet.records}
+        record_by_id |= {record.server_id: record for record in message.servers}
+        return tuple(
+            record
+            for server_id, record in record_by_id.items()
+            if server_id not in message.gone_ids
+        )
+
+    def _add_unknown(self, records):
+        known = {record.server_id for record in self.fleet.records}
+        unknown = tuple(
+            record
+            for record in records
+            if record.server_id not in known
+            and record.server_id not in self.fleet.by_id
+        )
+        if unknown:
+            self._read_list((*self.fleet.records, *unknown))
 
     def _take_missing(self):
         if not self.election.is_owner:
--- a/buckthornshift/dispatch/_peer_messages.py
+++ b/buckthornshift/dispatch/_peer_messages.py
@@ -141,13 +141,25 @@
 
 @attrs.frozen(kw_only=True)
 class ServersShared:
-    """The owner shares the list of backend servers, and what it learned of them.
+    """The owner tells its list of backend servers, or what changed in it.
 
-    :param servers: the whole list.
-    :param lessons: servers that are not as good as the others.
+    :param servers: the whole list, or what is new or different.
+    :param gone_ids: servers that are no longer in it.
+    :param is_whole: whether it is the whole list.
     """
 
     servers: tuple[ServerRecord, ...] = ()
+    gone_ids: tuple[str, ...] = ()
+    is_whole: bool = False
+
+
+@attrs.frozen(kw_only=True)
+class LessonsShared:
+    """The owner tells what it has learned of servers.
+
+    :param lessons: servers that are not as good as the others; all others are.
+    """
+
     lessons: tuple[ServerLesson, ...] = ()
 
 
@@ -167,5 +179,6 @@
     JobEnded,
     DropJob,
     ServersShared,
+    LessonsShared,
     ConfigurationShared,
 )
