--- a/tests/proving/fleet/test_fleet_mutations.py
+++ b/tests/proving/fleet/test_fleet_mutations.py
@@ -183,11 +183,21 @@
     monkeypatch.setattr(RunBook, "on_start_answered", answered_as_rejected)
 
 
+def start_beside_a_run(monkeypatch):
+    """Start a task though a run under its name may still be there."""
+    monkeypatch.setattr(RunBook, "is_open", lambda self, name: False)
+
+
 MUTATIONS = [
     (count_nothing, FleetRule.CAPACITY, [FleetFault.BURST]),
     (free_stopped_at_once, FleetRule.CAPACITY, [FleetFault.CALLERS_LEAVE]),
     (ignore_fences, FleetRule.CAPACITY, [FleetFault.ZONE_CUT, FleetFault.OWNER_FREEZE]),
     (start_late, FleetRule.ONE_RUN, [FleetFault.ANSWERS_LOST]),
+    (
+        start_beside_a_run,
+        FleetRule.ONE_RUN,
+        [FleetFault.ZONE_CUT, FleetFault.NODE_DEATH],
+    ),
     (
         resubmit_at_once,
         FleetRule.ONE_RUN,
