--- a/buckthornshift/cli/_load.py
+++ b/buckthornshift/cli/_load.py
@@ -3,7 +3,6 @@
 import attrs
 import click
 
-from ..contracts import BuckthornshiftError
 from ..documents import read_text
 from ..load import (
     ExternalSystem,
@@ -20,9 +19,9 @@
     ExitCode,
     echo_json,
     output_option,
-    report_error,
     run_async,
 )
+from ._result_commands import add_result_commands
 
 
 @click.group()
@@ -73,36 +72,6 @@
     return ExitCode.OK if is_clean else ExitCode.VIOLATION
 
 
-@load.command()
-@click.argument("before")
-@click.argument("after")
-def compare(before, after):
-    """Set two result files side by side, run by run."""
-    try:
-        pairs = list(zip(read_results(before), read_results(after), strict=False))
-    except BuckthornshiftError as error:
-        _exit_with(error)
-    for first, second in pairs:
-        click.echo(render_comparison(first, second))
-
-
-@load.command()
-@click.argument("results_file")
-@click.option("--out", "folder", default="results", show_default=True)
-@click.option("--format", "file_format", type=click.Choice(["png", "svg"]))
-def report(results_file, folder, file_format):
-    """Draw the results in RESULTS_FILE as pictures into a folder."""
-    from ..load._plot import draw_results
-
-    try:
-        results = read_results(results_file)
-    except BuckthornshiftError as error:
-        _exit_with(error)
-    click.echo(render_results(results))
-    for path in draw_results(results, folder, file_format or "png"):
-        click.echo(str(path))
-
-
 async def _run_one(load_run):
     if not hasattr(load_run, "run_async"):
         return load_run.run()
@@ -119,5 +88,16 @@
     return click.get_text_stream("stderr")
 
 
-def _exit_with(error):
-    raise SystemExit(int(report_error(error)))
+def _load_draw():
+    from ..load._plot import draw_results
+
+    return draw_results
+
+
+add_result_commands(
+    load,
+    read=read_results,
+    render=render_results,
+    render_pair=render_comparison,
+    load_draw=_load_draw,
+)
--- a/buckthornshift/cli/_load_site.py
+++ b/buckthornshift/cli/_load_site.py
@@ -14,6 +14,7 @@
     run_other_version,
 )
 from ._output import ExitCode, report_error
+from ._result_commands import add_result_commands
 
 
 @click.group()
@@ -48,36 +49,6 @@
     raise SystemExit(int(ExitCode.OK if is_clean else ExitCode.VIOLATION))
 
 
-@site.command()
-@click.argument("before")
-@click.argument("after")
-def compare(before, after):
-    """Set two result files side by side, run by run."""
-    try:
-        pairs = zip(read_fleet_results(before), read_fleet_results(after), strict=False)
-    except BuckthornshiftError as error:
-        raise SystemExit(int(report_error(error))) from error
-    for first, second in pairs:
-        click.echo(render_fleet_comparison(first, second))
-
-
-@site.command()
-@click.argument("results_file")
-@click.option("--out", "folder", default="results", show_default=True)
-@click.option("--format", "file_format", type=click.Choice(["png", "svg"]))
-def report(results_file, folder, file_format):
-    """Draw the results in RESULTS_FILE as pictures into a folder."""
-    from ..load.fleet._fleet_plot import draw_fleet_results
-
-    try:
-        results = read_fleet_results(results_file)
-    except BuckthornshiftError as error:
-        raise SystemExit(int(report_error(error))) from error
-    click.echo(render_fleet_results(results))
-    for path in draw_fleet_results(results, folder, file_format or "png"):
-        click.echo(str(path))
-
-
 def _run_file(path, seed, against, is_bounded):
     text = read_text(path)
     experiment = parse_fleet_experiment(text, path)
@@ -95,3 +66,18 @@
 
     bound = compute_bound(experiment.make_plans()[0])
     return [attrs.evolve(result, bound=bound) for result in results]
+
+
+def _load_draw():
+    from ..load.fleet._fleet_plot import draw_fleet_results
+
+    return draw_fleet_results
+
+
+add_result_commands(
+    site,
+    read=read_fleet_results,
+    render=render_fleet_results,
+    render_pair=render_fleet_comparison,
+    load_draw=_load_draw,
+)
