--- a/buckthornshift/cli/_fuzz.py
+++ b/buckthornshift/cli/_fuzz.py
@@ -6,7 +6,12 @@
 import click
 
 from ..proving import FaultKind, run_seed
-from ..proving.fleet import FleetFault, run_busy_fleet_seed, run_fleet_seed
+from ..proving.fleet import (
+    FleetFault,
+    run_busy_fleet_seed,
+    run_cells_seed,
+    run_fleet_seed,
+)
 from ._output import ExitCode, echo_json, output_option
 
 # Counts that are maxima over the runs, not sums.
@@ -28,6 +33,7 @@
 WORLDS = {
     "claims": World(run=run_seed, fault_kinds=FaultKind),
     "fleet": World(run=run_fleet_seed, fault_kinds=FleetFault),
+    "cells": World(run=run_cells_seed, fault_kinds=FleetFault),
     "busy-fleet": World(run=run_busy_fleet_seed, fault_kinds=FleetFault),
 }
 
@@ -41,6 +47,7 @@
     show_default=True,
     help=(
         "claims: entry instances with claims; fleet: dispatch to owned servers; "
+        "cells: the same with servers divided into cells; "
         "busy-fleet: the same where every event takes processor time."
     ),
 )
--- a/buckthornshift/dispatch/__init__.py
+++ b/buckthornshift/dispatch/__init__.py
@@ -47,6 +47,7 @@
 from ._peer_messages import (
     PEER_MESSAGES,
     Beat,
+    CellClaim,
     DropJob,
     EndReason,
     JobEnded,
@@ -62,6 +63,7 @@
     "AnswerCaller",
     "Beat",
     "CallerLeft",
+    "CellClaim",
     "Configuration",
     "ConfigurationRead",
     "DialPeer",
--- a/buckthornshift/dispatch/_admission.py
+++ b/buckthornshift/dispatch/_admission.py
@@ -44,17 +44,17 @@
         self.context = context
         self.fleet = fleet
         self.durations = durations
-        self._left_by_service = {}
+        self._left_by_place = {}
 
     def check(self, job, open_jobs):
         """Return a :class:`JobRefusal`, or ``None`` for a job that is taken.
 
         :param job: the new job.
-        :param open_jobs: jobs that have no outcome.
+        :param open_jobs: jobs of its cell that have no outcome.
         """
         context = self.context
         for step in job.spec.steps:
-            if not self.fleet.can_ever_run(job.queue.service, step):
+            if not self.fleet.can_ever_run(job.queue.service, step, job.cell):
                 return JobRefusal(
                     reason=EndReason.INFEASIBLE,
                     detail=f"no server holds {step.need} {step.required_label}",
@@ -65,7 +65,7 @@
             return None
         need_cpu = max(1, max(step.need.cpu for step in job.spec.steps))
         n_ahead = self._count_ahead(job, open_jobs)
-        n_free = self.fleet.count_free_slots(job.queue.service, need_cpu)
+        n_free = self.fleet.count_free_slots(job.queue.service, need_cpu, job.cell)
         if n_ahead < n_free:
             return None
         # Ends are known to within half of a run only: the second half of the tasks
@@ -103,7 +103,7 @@
         :param job: the job.
         :param n_needed: slots needed beyond those that are free.
         """
-        left_ms = self._find_left_ms(job.queue.service)
+        left_ms = self._find_left_ms(job.queue.service, job.cell)
         if not left_ms:
             return 0.0
         if n_needed <= len(left_ms):
@@ -111,20 +111,20 @@
         n_rounds = n_needed / len(left_ms)
         return n_rounds * max(left_ms[-1], job.chain_ms)
 
-    def _find_left_ms(self, service):
+    def _find_left_ms(self, service, cell):
         """Return how long runs go on, in order; a moment old at most."""
         now_ms = self.context.now_ms
-        read_ms, left_ms = self._left_by_service.get(service, (-ENDS_KEPT_MS, ()))
+        read_ms, left_ms = self._left_by_place.get((service, cell), (-ENDS_KEPT_MS, ()))
         if now_ms - read_ms >= ENDS_KEPT_MS:
-            left_ms = sorted(self._list_left_ms(service))
-            self._left_by_service[service] = (now_ms, left_ms)
+            left_ms = sorted(self._list_left_ms(service, cell))
+            self._left_by_place[service, cell] = (now_ms, left_ms)
         return left_ms
 
-    def _list_left_ms(self, service):
-        """Return how long each run of a service is expected to go on."""
+    def _list_left_ms(self, service, cell):
+        """Return how long each run of a service in a cell is expected to go on."""
         now_ms = self.context.now_ms
         left_ms = []
-        for server in self.fleet.by_id.values():
+        for server in self.fleet.list_cell(cell):
             if server.record.service != service or not server.is_reachable:
                 continue
             for run in server.run_by_name.values():
--- /dev/null
+++ b/buckthornshift/dispatch/_cells.py
@@ -0,0 +1,313 @@
+"""Cells: parts of the servers, with an owner each.
+
+Answers the pattern of a deployment that is too large for one owner. The hash of an id
+puts each server into a cell, and each job into the cell that is to run it, so that a
+repeat of a job meets the same owner. A cell without room for a job names another one.
+"""
+
+from ._actions import LogCode
+from ._election import Election
+from ._events import PeerReceived, StopRequested
+from ._hashing import hash_name
+from ._internal import BeatDue, CellsChanged, PauseNoticed, PeerLost
+from ._peer_messages import Beat, CellClaim
+
+# Eight times the cells of the largest deployment that is planned for.
+MAX_CELLS = 64
+# An instance gives a second cell away to one that has been without any for this time,
+# in which that one has read the list.
+HAND_OVER_AFTER_MS = 2_000.0
+
+
+class Cells:
+    """Divide the servers into cells, and follow the owner of each.
+
+    The number of cells is a power of two and only grows, so that all instances agree
+    on it as soon as they have heard of the largest.
+
+    :param context: the shared :class:`DispatchContext`.
+    :param membership: the :class:`Membership`.
+    :param fleet: the :class:`Fleet`.
+    """
+
+    def __init__(self, context=None, membership=None, fleet=None):
+        self.context = context
+        self.membership = membership
+        self.fleet = fleet
+        self.n_cells = 1
+        self.settled_ms = None
+        self.list_held = lambda: ()
+        self.count_waiting_cpu = lambda cell: 0
+        self.elections = [self._make_election(0)]
+        self._n_planned = 1
+        self._too_long_since_ms = None
+        self._surplus_since_ms = None
+        membership.describe_claims = self.describe
+        membership.is_owner = lambda: self.is_owner
+        membership.has_all_owners = self.has_all_owners
+
+    def subscribe(self):
+        """Return handlers by message class."""
+        return {
+            BeatDue: self.on_tick,
+            PeerLost: self.on_tick,
+            PauseNoticed: self.on_pause,
+            StopRequested: self.on_stop,
+            PeerReceived: self.on_received,
+            CellsChanged: self.on_changed,
+        }
+
+    @property
+    def is_owner(self):
+        """Whether this instance owns a cell, as far as it knows."""
+        return any(election.is_owner for election in self.elections)
+
+    def get(self, cell):
+        """Return the :class:`Election` of a cell."""
+        return self.elections[cell]
+
+    def is_owner_of(self, cell):
+        """Return whether this instance owns a cell, as far as it knows."""
+        return cell < self.n_cells and self.elections[cell].is_owner
+
+    def list_owned(self):
+        """Return the cells that this instance owns."""
+        return [e.cell for e in self.elections if e.is_owner]
+
+    def has_owner(self):
+        """Return whether some cell has an owner."""
+        return any(e.owner is not None and e.owner[0] for e in self.elections)
+
+    def has_all_owners(self):
+        """Return whether every cell is claimed by somebody in contact."""
+        claimed = set(self.list_owned())
+        for peer in self.membership.list_live():
+            if peer.beat.n_cells == self.n_cells:
+                claimed.update(claim.cell for claim in peer.beat.claims)
+        return len(claimed) >= self.n_cells
+
+    def find_cell(self, job_id):
+        """Return the cell that is to run a job."""
+        return hash_name(job_id) % self.n_cells
+
+    def covers(self, beat, server):
+        """Return whether a beat claims the cell of a server.
+
+        :param beat: the :class:`Beat`; its sender may know another number of cells.
+        :param server: the :class:`Server`.
+        """
+        cell = server.hash % beat.n_cells
+        return any(claim.cell == cell for claim in beat.claims)
+
+    def list_claims(self, cell):
+        """Return claims of others on a cell as sort keys with their peers."""
+        claims = []
+        for peer in self.membership.list_live():
+            if not peer.beat.claims or peer.beat.n_cells != self.n_cells:
+                continue
+            for claim in peer.beat.claims:
+                if claim.cell == cell:
+                    key = (claim.n_owned, claim.term, peer.incarnation)
+                    claims.append((key, peer, claim))
+        return claims
+
+    def find_other(self, cell, can_run, need_cpu=None):
+        """Return the cell with the most room besides one, or ``None``.
+
+        :param cell: the cell that has no room.
+        :param can_run: says whether some server of a cell could run it.
+        :param need_cpu: room that is needed now, in thousandths of a core; ``None``
+            for any cell that could ever run it.
+        """
+        least_cpu = float("-inf") if need_cpu is None else need_cpu
+        free_by_cell = {}
+        if need_cpu is None:
+            free_by_cell = dict.fromkeys(range(self.n_cells), 0)
+        for peer in self.membership.list_live():
+            if peer.beat.n_cells == self.n_cells:
+                free_by_cell |= {c.cell: c.free_cpu for c in peer.beat.claims}
+        free_by_cell |= {c: self._measure_room(c) for c in self.list_owned()}
+        free_by_cell.pop(cell, None)
+        roomy = [
+            c for c, cpu in free_by_cell.items() if cpu >= least_cpu and can_run(c)
+        ]
+        return max(roomy, key=free_by_cell.get, default=None)
+
+    def describe(self):
+        """Return the fields of a beat that tell of this instance's claims."""
+        return {
+            "n_cells": self.n_cells,
+            "claims": tuple(self._describe_claim(e) for e in self._list_own()),
+            "is_eligible": self.is_eligible(),
+            "held_ids": tuple(self.list_held()),
+        }
+
+    def is_eligible(self):
+        """Return whether this instance could own servers."""
+        context = self.context
+        return (
+            not context.is_stopping
+            and context.configuration.version > 0
+            and bool(self.fleet.by_id)
+        )
+
+    def is_settled(self):
+        """Return whether an existing owner would have been heard by now."""
+        context = self.context
+        if self.settled_ms is None:
+            self.settled_ms = context.started_ms + context.settings.settle_ms
+        return context.now_ms >= self.settled_ms
+
+    def is_first_for(self, cell):
+        """Return whether it is on this instance to claim a cell without an owner.
+
+        Those with the fewest cells come first, then by rank; the cells without an
+        owner are dealt out in that order.
+        """
+        own_load, own_rank = len(self.list_owned()), self._own_rank()
+        n_rivals = n_before = 0
+        for peer in self.membership.list_live():
+            if not self._may_claim(peer):
+                continue
+            n_rivals += 1
+            load = len(peer.beat.claims)
+            is_equal = load == own_load
+            n_before += load < own_load or (is_equal and peer.rank > own_rank)
+        ownerless = [e.cell for e in self.elections if e.is_ownerless]
+        return ownerless.index(cell) % (n_rivals + 1) == n_before
+
+    def fit(self, n_listed):
+        """Divide the servers further if a cell is too large for one owner.
+
+        :param n_listed: number of listed servers.
+        """
+        n_needed = 1
+        most = self.context.settings.cell_servers
+        while n_needed * most < n_listed and n_needed < MAX_CELLS:
+            n_needed *= 2
+        if n_needed <= self._n_planned:
+            self._too_long_since_ms = None
+            return
+        now_ms = self.context.now_ms
+        if self._too_long_since_ms is None:
+            self._too_long_since_ms = now_ms
+        is_lasting = (
+            now_ms - self._too_long_since_ms >= self.context.settings.grow_after_ms
+        )
+        if is_lasting or not self.has_owner():
+            self._grow(n_needed, "list")
+
+    def on_tick(self, message):
+        """Look at the claims that are heard."""
+        self.review()
+        self._hand_over_surplus()
+
+    def review(self):
+        """Follow the owner of each cell; claim those that it is our turn to claim."""
+        for election in self.elections:
+            election.review()
+
+    def on_pause(self, message):
+        """Give all claims up, and listen before claiming again.
+
+        What came in the pause is handled next: orders under the old claims, or higher
+        ones, would run beside those of whoever took over.
+        """
+        context = self.context
+        context.log(
+            LogCode.PAUSE_NOTICED,
+            context.identity.address,
+            late_ms=round(message.late_ms),
+            terms=[election.term for election in self._list_own()],
+        )
+        self.settled_ms = context.now_ms + context.settings.settle_ms
+        for election in self._list_own():
+            election.give_up()
+
+    def on_stop(self, event):
+        """Give all servers up before a stop."""
+        for election in self._list_own():
+            election.give_up()
+        self.review()
+        self.membership.beat_now()
+
+    def on_received(self, event):
+        """Divide the servers as far as any other instance does."""
+        if isinstance(event.message, Beat) and event.message.n_cells > self._n_planned:
+            self._grow(event.message.n_cells, event.address)
+
+    def on_changed(self, message):
+        """Divide the servers, now that what was owned has been given up."""
+        if message.n_cells <= self.n_cells:
+            return
+        self.n_cells = message.n_cells
+        self.fleet.divide(self.n_cells)
+        for cell in range(len(self.elections), self.n_cells):
+            self.elections.append(self._make_election(cell))
+        self.review()
+        self.membership.beat_now()
+
+    def _grow(self, n_cells, source):
+        if n_cells > MAX_CELLS or n_cells & (n_cells - 1):
+            self.context.log(LogCode.RECORD_IGNORED, source, n_cells=n_cells)
+            return
+        self._n_planned = n_cells
+        self._too_long_since_ms = None
+        self.context.log(
+            LogCode.CELLS_DIVIDED,
+            source,
+            n_cells=n_cells,
+            former=self.n_cells,
+            n_servers=len(self.fleet.by_id),
+        )
+        for election in self._list_own():
+            election.give_up()
+        self.context.post(CellsChanged(n_cells=n_cells))
+
+    def _hand_over_surplus(self):
+        owned = self.list_owned()
+        now_ms = self.context.now_ms
+        is_free = any(
+            not peer.beat.claims and self._may_claim(peer)
+            for peer in self.membership.list_live()
+        )
+        if len(owned) < 2 or not is_free:
+            self._surplus_since_ms = None
+        elif self._surplus_since_ms is None:
+            self._surplus_since_ms = now_ms
+        elif now_ms - self._surplus_since_ms >= HAND_OVER_AFTER_MS:
+            self._surplus_since_ms = None
+            self.elections[owned[-1]].give_up()
+
+    def _make_election(self, cell):
+        return Election(
+            context=self.context, membership=self.membership, cells=self, cell=cell
+        )
+
+    def _list_own(self):
+        return [election for election in self.elections if election.is_owner]
+
+    def _describe_claim(self, election):
+        return CellClaim(
+            cell=election.cell,
+            term=election.term,
+            n_owned=self.fleet.count_owned(election.cell),
+            is_complete=election.is_claim_complete,
+            free_cpu=self._measure_room(election.cell) if self.n_cells > 1 else 0,
+        )
+
+    def _measure_room(self, cell):
+        return self.fleet.count_free_cpu(cell) - self.count_waiting_cpu(cell)
+
+    def _own_rank(self):
+        identity = self.context.identity
+        return (identity.power, identity.born_ms, identity.incarnation)
+
+    def _may_claim(self, peer):
+        """Return whether another instance could claim servers now."""
+        beat = peer.beat
+        # One that has just begun still waits; after a loss of all, nobody would
+        # claim before the last of them has settled.
+        age_ms = self.context.wall_ms - beat.born_ms
+        is_settled = age_ms >= self.context.settings.settle_ms
+        return beat.is_eligible and not beat.is_leaving and is_settled
--- a/buckthornshift/dispatch/_core.py
+++ b/buckthornshift/dispatch/_core.py
@@ -4,10 +4,10 @@
 
 from ._actions import LogCode
 from ._admission import Admission
+from ._cells import Cells
 from ._context import DispatchContext
 from ._declarations import Configuration
 from ._durations import Durations
-from ._election import Election
 from ._events import ConfigurationRead, PeerReceived, StopRequested, TimeAdvanced
 from ._fleet import Fleet
 from ._holding import Holding
@@ -98,11 +98,10 @@
     def is_ready(self):
         """Return whether callers should be sent here."""
         context = self.context
-        has_owner = self.election.owner is not None and self.election.owner[0]
         return (
             not context.is_stopping
             and context.configuration.version > 0
-            and bool(has_owner)
+            and self.cells.has_owner()
         )
 
     def dump(self):
@@ -113,8 +112,7 @@
             "is_stopping": context.is_stopping,
             "is_ready": self.is_ready(),
             "config_version": context.configuration.version,
-            "owner": self.election.owner,
-            "term": self.election.term,
+            "cells": [_dump_cell(e) for e in self.cells.elections],
             "n_requests": len(self.homes.by_key),
             "n_jobs": len(self.jobs.by_id),
             "n_runs": self.runs.n_open,
@@ -127,8 +125,10 @@
     def _build_parts(self):
         context = self.context
         self.membership = Membership(context=context)
-        self.election = Election(context=context, membership=self.membership)
         self.fleet = Fleet(context=context)
+        self.cells = Cells(
+            context=context, membership=self.membership, fleet=self.fleet
+        )
         self.durations = Durations()
         self.admission = Admission(
             context=context, fleet=self.fleet, durations=self.durations
@@ -137,7 +137,7 @@
             context=context,
             fleet=self.fleet,
             membership=self.membership,
-            election=self.election,
+            cells=self.cells,
             admission=self.admission,
             durations=self.durations,
         )
@@ -146,13 +146,13 @@
             context=context,
             fleet=self.fleet,
             membership=self.membership,
-            election=self.election,
+            cells=self.cells,
         )
         self.holding = Holding(
             context=context,
             fleet=self.fleet,
             membership=self.membership,
-            election=self.election,
+            cells=self.cells,
             runs=self.runs,
             sharing=self.sharing,
         )
@@ -161,7 +161,7 @@
         self.homes = Homes(
             context=context,
             membership=self.membership,
-            election=self.election,
+            cells=self.cells,
             shedding=self.shedding,
         )
         self.placing = Placing(
@@ -169,14 +169,15 @@
             fleet=self.fleet,
             jobs=self.jobs,
             runs=self.runs,
-            election=self.election,
+            cells=self.cells,
         )
+        self.cells.count_waiting_cpu = self.placing.count_waiting_cpu
         self.stopping = Stopping(
             context=context, homes=self.homes, holding=self.holding
         )
         self._parts = (
             self.membership,
-            self.election,
+            self.cells,
             self.holding,
             self.sharing,
             self.runs,
@@ -280,14 +281,23 @@
         "name": peer.beat.name,
         "zone": peer.beat.zone,
         "is_live": peer.is_live,
-        "claim_term": peer.beat.claim_term,
+        "claims": [attrs.asdict(claim) for claim in peer.beat.claims],
         "config_version": peer.beat.config_version,
     }
 
 
+def _dump_cell(election):
+    return {
+        "cell": election.cell,
+        "owner": election.owner,
+        "term": election.term,
+    }
+
+
 def _dump_server(server):
     return {
         "id": server.id,
+        "cell": server.cell,
         "zone": server.record.zone,
         "ownership": server.ownership.value,
         "is_reachable": server.is_reachable,
--- a/buckthornshift/dispatch/_fleet.py
+++ b/buckthornshift/dispatch/_fleet.py
@@ -5,6 +5,7 @@
 import attrs
 
 from ._declarations import Resources, ServerRecord
+from ._hashing import hash_name
 from ._peer_messages import ServerLesson
 
 # Part of an availability zone's servers of which more are not called suspect at once:
@@ -30,6 +31,8 @@
     """A backend server.
 
     :param record: what the platform lists.
+    :param hash: number that decides its cell.
+    :param cell: its cell.
     :param ownership: whether this instance owns it.
     :param token: fencing token of this instance's orders.
     :param refused_term: term of the last token that the server refused.
@@ -53,6 +56,8 @@
     """
 
     record: ServerRecord = ServerRecord()
+    hash: int = 0
+    cell: int = 0
     ownership: Ownership = Ownership.NONE
     token: int = 0
     refused_term: int = 0
@@ -133,6 +138,22 @@
         self.context = context
         self.by_id = {}
         self.records = ()
+        self._by_id_by_cell = [{}]
+
+    def divide(self, n_cells):
+        """Put the servers into a number of cells."""
+        self._by_id_by_cell = [{} for _ in range(n_cells)]
+        for server in self.by_id.values():
+            self._put_into_cell(server)
+
+    def list_cell(self, cell):
+        """Return the servers of a cell."""
+        return self._by_id_by_cell[cell].values()
+
+    def remove(self, server):
+        """Forget a server."""
+        self.by_id.pop(server.id, None)
+        self._by_id_by_cell[server.cell].pop(server.id, None)
 
     def read_list(self, records):
         """Take over a new list.
@@ -146,12 +167,7 @@
         for server_id, record in listed_by_id.items():
             server = self.by_id.get(server_id)
             if server is None:
-                server = Server(
-                    record=record,
-                    free=record.capacity,
-                    answered_ms=self.context.now_ms,
-                )
-                self.by_id[server_id] = server
+                server = self._add(record)
                 added.append(server)
                 continue
             if server.record != record or server.unlisted_ms is not None:
@@ -166,24 +182,19 @@
 
     def is_open(self, server):
         """Return whether a server may get a new task now."""
-        settings = self.context.settings
-        is_listed = (
-            server.unlisted_ms is None
-            or self.context.now_ms - server.unlisted_ms < settings.unlisted_grace_ms
-        )
         return (
             server.ownership is Ownership.OWNED
             and server.is_reachable
             and not server.record.is_draining
             and server.n_unknown == 0
-            and is_listed
+            and self._is_listed(server)
         )
 
-    def list_lessons(self):
+    def list_lessons(self, cell):
         """Return a :class:`ServerLesson` of each server that is worse than others."""
         now_ms = self.context.now_ms
         lessons = []
-        for server in self.by_id.values():
+        for server in self.list_cell(cell):
             left_ms = max(0.0, server.suspect_until_ms - now_ms)
             if left_ms or server.n_failures or server.slowness > TOLD_SLOWNESS:
                 lessons.append(
@@ -196,13 +207,14 @@
                 )
         return tuple(lessons)
 
-    def take_lessons(self, lessons):
-        """Take over what the owner has learned; forget what it no longer says.
+    def take_lessons(self, lessons, cell):
+        """Take over what an owner has learned; forget what it no longer says.
 
         :param lessons: its :class:`ServerLesson` of each server that is worse.
+        :param cell: its cell.
         """
         told_by_id = {lesson.server_id: lesson for lesson in lessons}
-        for server in self.by_id.values():
+        for server in self.list_cell(cell):
             lesson = told_by_id.get(server.id, ServerLesson())
             server.suspect_until_ms = self.context.now_ms + lesson.suspect_left_ms
             server.n_failures = lesson.n_failures
@@ -227,9 +239,9 @@
             for server_id in ids
         }
 
-    def iter_open(self, service):
-        """Yield the servers of a service that may get a new task now."""
-        for server in self.by_id.values():
+    def iter_open(self, service, cell):
+        """Yield the servers of a service and cell that may get a new task now."""
+        for server in self.list_cell(cell):
             if server.record.service == service and self.is_open(server):
                 yield server
 
@@ -250,23 +262,55 @@
             and not server.record.is_draining
         )
 
-    def count_free_slots(self, service, need_cpu):
+    def count_free_slots(self, service, need_cpu, cell):
         """Return how many tasks of a size the open servers have room for now.
 
         :param service: the service.
         :param need_cpu: what one task needs, in thousandths of a core.
+        :param cell: the cell.
         """
-        return sum(server.free.cpu // need_cpu for server in self.iter_open(service))
+        servers = self.iter_open(service, cell)
+        return sum(server.free.cpu // need_cpu for server in servers)
 
-    def count_owned(self):
-        """Return how many servers this instance owns."""
-        return sum(s.ownership is Ownership.OWNED for s in self.by_id.values())
+    def count_free_cpu(self, cell):
+        """Return what is free on the open servers, in thousandths of a core."""
+        return sum(s.free.cpu for s in self.list_cell(cell) if self.is_open(s))
 
-    def can_ever_run(self, service, step):
-        """Return whether some listed server is large enough for a step's task."""
+    def count_owned(self, cell=None):
+        """Return how many servers this instance owns, of one cell or of all."""
+        servers = self.by_id.values() if cell is None else self.list_cell(cell)
+        return sum(s.ownership is Ownership.OWNED for s in servers)
+
+    def can_ever_run(self, service, step, cell):
+        """Return whether some server that stays is large enough for a step's task."""
         return any(
             server.record.service == service
+            and not server.record.is_draining
+            and self._is_listed(server)
             and server.record.capacity.covers(step.need)
             and (not step.required_label or step.required_label in server.record.labels)
-            for server in self.by_id.values()
+            for server in self.list_cell(cell)
+        )
+
+    def _is_listed(self, server):
+        """Return whether a server is listed, or may be again in a moment."""
+        grace_ms = self.context.settings.unlisted_grace_ms
+        return (
+            server.unlisted_ms is None
+            or self.context.now_ms - server.unlisted_ms < grace_ms
         )
+
+    def _add(self, record):
+        server = Server(
+            record=record,
+            hash=hash_name(record.server_id),
+            free=record.capacity,
+            answered_ms=self.context.now_ms,
+        )
+        self.by_id[server.id] = server
+        self._put_into_cell(server)
+        return server
+
+    def _put_into_cell(self, server):
+        server.cell = server.hash % len(self._by_id_by_cell)
+        self._by_id_by_cell[server.cell][server.id] = server
--- a/buckthornshift/dispatch/_holding.py
+++ b/buckthornshift/dispatch/_holding.py
@@ -15,6 +15,7 @@
     ServersChanged,
 )
 from ._jobs import Run, RunPhase
+from ._list_sharing import LIST_CELL
 from ._peer_messages import LessonsShared, ServersShared
 
 FORGET_UNLISTED_MS = 15_000.0
@@ -29,7 +30,7 @@
     :param context: the shared :class:`DispatchContext`.
     :param fleet: the :class:`Fleet`.
     :param membership: the :class:`Membership`.
-    :param election: the :class:`Election`.
+    :param cells: the :class:`Cells`.
     :param runs: the :class:`RunBook`, told of ends and losses.
     :param sharing: the :class:`ListSharing`.
     """
@@ -39,20 +40,19 @@
         context=None,
         fleet=None,
         membership=None,
-        election=None,
+        cells=None,
         runs=None,
         sharing=None,
     ):
         self.context = context
         self.fleet = fleet
         self.membership = membership
-        self.election = election
+        self.cells = cells
         self.runs = runs
         self.sharing = sharing
         self._is_yielding = False
-        election.has_servers = lambda: bool(fleet.by_id)
-        election.list_held = self.list_held
-        election.count_owned = fleet.count_owned
+        self._is_list_told = False
+        cells.list_held = self.list_held
 
     def subscribe(self):
         """Return handlers by message class."""
@@ -83,14 +83,16 @@
 
     def on_claim_begun(self, message):
         """Take every server, but those that a former owner still holds."""
-        self.context.emit(FollowServers(is_on=True))
-        for server in self.fleet.by_id.values():
+        if message.cell == LIST_CELL:
+            self.context.emit(FollowServers(is_on=True))
+        for server in self.fleet.list_cell(message.cell):
             self._take(server)
 
     def on_claim_ended(self, message):
         """Release idle servers at once, the others when their runs have ended."""
-        self.context.emit(FollowServers(is_on=False))
-        for server in self.fleet.by_id.values():
+        if message.cell == LIST_CELL:
+            self.context.emit(FollowServers(is_on=False))
+        for server in self.fleet.list_cell(message.cell):
             if server.ownership is Ownership.OWNED and not server.is_idle:
                 server.ownership = Ownership.YIELDING
                 self._is_yielding = True
@@ -101,20 +103,22 @@
     def on_servers_read(self, event):
         """Take over a list that was read from the store."""
         self._read_list(event.servers)
+        self._is_list_told = True
         self.sharing.share()
 
     def on_peer(self, event):
-        """Take over what the owner tells of the servers.
+        """Take over what owners tell of the servers.
 
         An owner adds what only a rival knows: something may run there.
         """
         match event.message:
-            case ServersShared() if self.election.is_owner:
+            case ServersShared() if self._is_list_of_rival(event.address):
                 self._add_unknown(event.message.servers)
             case ServersShared():
-                self._read_list(self._merge(event.message))
-            case LessonsShared(lessons=lessons) if not self.election.is_owner:
-                self.fleet.take_lessons(lessons)
+                self._follow_list(event.message)
+            case LessonsShared(cell=cell, lessons=lessons):
+                if cell < self.cells.n_cells and not self.cells.is_owner_of(cell):
+                    self.fleet.take_lessons(lessons, cell)
 
     def on_peer_lost(self, message):
         """Take the servers that a lost instance still held."""
@@ -146,8 +150,12 @@
                 continue
             if not server.is_idle or self._is_look_due(server):
                 self.hold(server)
-        if self.election.is_owner:
-            self._check_complete()
+        self.cells.fit(len(self.fleet.records))
+        if not self.cells.is_owner and not self.membership.is_own_hub:
+            # Nobody tells it changes.
+            self._is_list_told = False
+        for cell in self.cells.list_owned():
+            self._check_complete(cell)
 
     def on_adoption_over(self, message):
         """Stop runs found at a takeover whose job did not come."""
@@ -244,11 +252,11 @@
             LogCode.SERVER_FENCED,
             server.id,
             token=server.token,
-            term=self.election.term,
+            term=self.cells.get(server.cell).term,
         )
         server.refused_term = server.token >> TOKEN_RANDOM_BITS
         self._abandon(server, Ownership.FENCED)
-        self.election.note_server_lost()
+        self.cells.get(server.cell).note_server_lost()
         context.start_timer(
             context.settings.lost_after_ms, ServerRetryDue(server_id=server.id)
         )
@@ -260,13 +268,19 @@
         is_stale = age_ms > self.context.settings.clock_refresh_ms / 2
         return is_stale or (has_ack and age_ms > ACK_IDLE_MS)
 
+    def _is_list_of_rival(self, address):
+        if not self.cells.is_owner:
+            return False
+        keeper = self.cells.get(LIST_CELL).owner
+        return keeper is None or keeper[0] != address
+
     def _read_list(self, records):
         context = self.context
         added, changed, vanished = self.fleet.read_list(records)
         for server in added:
             context.log(LogCode.SERVER_LISTED, server.id, service=server.record.service)
-            if self.election.is_owner:
-                self._take(server)
+            self._take(server)
+        self.cells.fit(len(records))
         for server in changed:
             if server.record.is_draining:
                 context.log(LogCode.SERVER_DRAINING, server.id)
@@ -275,17 +289,19 @@
         if added or changed or vanished:
             context.post(ServersChanged())
 
-    def _merge(self, message):
-        """Return the list that results from what the owner tells."""
+    def _follow_list(self, message):
+        """Read the list that results from what the owner tells."""
         if message.is_whole:
-            return message.servers
+            # What is gone is read first as if it were listed, for what it may run.
+            self._read_list(message.servers)
+            self._is_list_told = True
         record_by_id = {record.server_id: record for record in self.fleet.records}
-        record_by_id |= {record.server_id: record for record in message.servers}
-        return tuple(
-            record
-            for server_id, record in record_by_id.items()
-            if server_id not in message.gone_ids
-        )
+        if not message.is_whole:
+            record_by_id |= {record.server_id: record for record in message.servers}
+        gone_ids = set(message.gone_ids)
+        records = tuple(r for i, r in record_by_id.items() if i not in gone_ids)
+        if records != self.fleet.records:
+            self._read_list(records)
 
     def _add_unknown(self, records):
         known = {record.server_id for record in self.fleet.records}
@@ -299,15 +315,15 @@
             self._read_list((*self.fleet.records, *unknown))
 
     def _take_missing(self):
-        if not self.election.is_owner:
-            return
-        for server in self.fleet.by_id.values():
-            if server.ownership is Ownership.NONE and server.hold_sent_ms is None:
-                self._take(server)
+        for cell in self.cells.list_owned():
+            for server in self.fleet.list_cell(cell):
+                if server.ownership is Ownership.NONE and server.hold_sent_ms is None:
+                    self._take(server)
 
     def _take(self, server):
         # A server whose entry vanished is taken as well, for what it may run.
-        if not self.election.is_owner:
+        election = self.cells.get(server.cell)
+        if not election.is_owner:
             return
         if server.ownership is Ownership.YIELDING:
             # Runs of an earlier claim of this instance: they go on under its token.
@@ -316,26 +332,27 @@
         if server.ownership is not Ownership.NONE or self._is_held_elsewhere(server):
             return
         server.ownership = Ownership.CLAIMING
-        server.token = make_token(self.election.term, self.context.random_state)
+        server.token = make_token(election.term, self.context.random_state)
         self.hold(server)
 
     def _is_held_elsewhere(self, server):
         return any(
-            peer.beat.claim_term or server.id in peer.beat.held_ids
+            server.id in peer.beat.held_ids or self.cells.covers(peer.beat, server)
             for peer in self.membership.list_live()
         )
 
-    def _is_outbid(self):
-        own = self.election.term
-        return any(p.beat.claim_term > own for p in self.membership.list_live())
+    def _is_outbid(self, election):
+        claims = self.cells.list_claims(election.cell)
+        return any(claim.term > election.term for _, _, claim in claims)
 
     def _retake_fenced(self, server):
         """Claim a server again if nobody with a higher claim is heard."""
         server.ownership = Ownership.NONE
-        if not self.election.is_owner or self._is_outbid():
+        election = self.cells.get(server.cell)
+        if not election.is_owner or self._is_outbid(election):
             return
-        if server.refused_term >= self.election.term:
-            self.election.raise_term()
+        if server.refused_term >= election.term:
+            election.raise_term()
         else:
             self._take(server)
 
@@ -355,8 +372,7 @@
             self._acknowledge_and_release(server)
         elif not server.is_idle:
             self.hold(server)
-        if self.election.is_owner:
-            self._check_complete()
+        self._check_complete(server.cell)
 
     def _note_answer(self, server, clock_ms):
         context = self.context
@@ -418,8 +434,7 @@
             server.ownership = Ownership.NONE
         delay_ms = 0.0 if server.is_reachable else settings.retry_ms
         context.start_timer(max(1.0, delay_ms), ServerRetryDue(server_id=server.id))
-        if self.election.is_owner:
-            self._check_complete()
+        self._check_complete(server.cell)
 
     def _abandon(self, server, ownership):
         """Give up all claims on a server; its runs are no longer ours to tell of."""
@@ -440,15 +455,15 @@
             return
         is_gone = context.now_ms - server.unlisted_ms >= FORGET_UNLISTED_MS
         if is_gone or not server.is_reachable:
-            self.fleet.by_id.pop(server.id, None)
+            self.fleet.remove(server)
             self.runs.forget_lost(server.id)
             context.emit(ForgetServer(server_id=server.id))
 
-    def _check_complete(self):
-        if self.election.is_claim_complete:
+    def _check_complete(self, cell):
+        election = self.cells.get(cell)
+        is_told = self._is_list_told or self.membership.is_own_hub
+        if not election.is_owner or election.is_claim_complete or not is_told:
             return
-        is_complete = all(
-            server.ownership is Ownership.OWNED for server in self.fleet.by_id.values()
-        )
-        if is_complete and self.fleet.by_id:
-            self.election.note_claim_complete()
+        servers = self.fleet.list_cell(cell)
+        if servers and all(s.ownership is Ownership.OWNED for s in servers):
+            election.note_claim_complete()
--- a/buckthornshift/dispatch/_homes.py
+++ b/buckthornshift/dispatch/_homes.py
@@ -8,7 +8,13 @@
 from ._actions import AnswerCaller, LogCode, SendPeer
 from ._declarations import JobSpec, Queue
 from ._events import CallerLeft, JobArrived, PeerLinkOpened, PeerReceived
-from ._internal import CallerDeadline, OwnerChanged, ResubmitDue, SubmissionEnded
+from ._internal import (
+    CallerDeadline,
+    CellsChanged,
+    OwnerChanged,
+    ResubmitDue,
+    SubmissionEnded,
+)
 from ._peer_messages import DropJob, EndReason, JobEnded, Outcome, SubmitJob
 
 # What a job may take as a multiple of its estimate; nine of ten stay below.
@@ -31,7 +37,11 @@
     :param attempt: counts the owners that it was passed to.
     :param may_have_run: whether an owner was given the job and may have started it.
     :param resubmit_ms: when nothing that a former owner started can run any more.
-    :param declined_by: address and term of an owner that gave the job back.
+    :param declined_by: cell, address and term of an owner that gave the job back.
+    :param n_cells: number of cells when its cell was chosen.
+    :param cell: the cell that is to run it.
+    :param is_passed_on: whether the cell of its id had no room.
+    :param is_moved: whether it may have run in a cell that was divided since.
     """
 
     key: int = 0
@@ -45,6 +55,10 @@
     may_have_run: bool = False
     resubmit_ms: float = 0.0
     declined_by: tuple | None = None
+    n_cells: int = 0
+    cell: int = 0
+    is_passed_on: bool = False
+    is_moved: bool = False
 
 
 class Homes:
@@ -52,14 +66,14 @@
 
     :param context: the shared :class:`DispatchContext`.
     :param membership: the :class:`Membership`.
-    :param election: the :class:`Election`.
+    :param cells: the :class:`Cells`.
     :param shedding: the :class:`Shedding`.
     """
 
-    def __init__(self, context=None, membership=None, election=None, shedding=None):
+    def __init__(self, context=None, membership=None, cells=None, shedding=None):
         self.context = context
         self.membership = membership
-        self.election = election
+        self.cells = cells
         self.shedding = shedding
         self.by_key = {}
         self.last_answer_ms = None
@@ -73,6 +87,7 @@
             CallerLeft: self.on_caller_left,
             CallerDeadline: self.on_deadline,
             OwnerChanged: self.on_owner_changed,
+            CellsChanged: self.on_owner_changed,
             ResubmitDue: self.on_resubmit_due,
             PeerLinkOpened: self.on_link_opened,
             PeerReceived: self.on_received,
@@ -92,6 +107,7 @@
             arrived_ms=context.now_ms,
             deadline_ms=context.now_ms + event.timeout_ms,
         )
+        self._choose_cell(home_job)
         self.by_key[home_job.key] = home_job
         self._key_by_caller[event.caller_ref] = home_job.key
         context.log(
@@ -175,7 +191,7 @@
 
     def _shed(self, home_job):
         """Refuse a job if the owner is too busy to take it; return whether."""
-        owner = self.election.owner
+        owner = self.cells.get(home_job.cell).owner
         if owner is None or owner[0] is None:
             return False
         refusal = self.shedding.check(home_job.job.job_id, owner[0])
@@ -237,23 +253,38 @@
             retry = ResubmitDue(key=home_job.key)
             context.start_timer(context.settings.retry_ms, retry)
             return
-        home_job.declined_by = owner[:2]
+        if ended.reason is EndReason.CELL_FULL and ended.cell < self.cells.n_cells:
+            home_job.cell = ended.cell
+            home_job.is_passed_on = True
+            self._route(home_job)
+            return
+        home_job.declined_by = (home_job.cell, *owner[:2])
         if home_job.may_have_run:
             self._wait_for_lapse(home_job, context.now_ms)
         self._route(home_job)
 
+    def _choose_cell(self, home_job):
+        home_job.n_cells = self.cells.n_cells
+        home_job.cell = self.cells.find_cell(home_job.job.job_id)
+        home_job.is_passed_on = False
+
     def _route(self, home_job):
         context = self.context
-        address, term, is_complete = self.election.owner or (None, 0, False)
         if home_job.owner is not None:
             if self.membership.is_live(home_job.owner[0], home_job.owner[2]):
                 return
             self._lose_owner(home_job)
-        if address is None or home_job.declined_by == (address, term):
+        if home_job.n_cells != self.cells.n_cells:
+            home_job.is_moved = home_job.may_have_run
+            self._choose_cell(home_job)
+        cell = home_job.cell
+        address, term, is_complete = self.cells.get(cell).owner or (None, 0, False)
+        if address is None or home_job.declined_by == (cell, address, term):
             return
         is_lapsed = context.now_ms >= home_job.resubmit_ms
-        if home_job.may_have_run and not (is_complete or is_lapsed):
-            # Only an owner of every server sees what a former one left running.
+        is_seen = is_complete and not home_job.is_moved
+        if home_job.may_have_run and not (is_seen or is_lapsed):
+            # Only an owner of the whole cell sees what a former one left running.
             return
         home_job.owner = (address, term, self._find_incarnation(address))
         home_job.attempt += 1
@@ -261,6 +292,7 @@
             LogCode.JOB_SENT,
             home_job.job.job_id,
             owner=address,
+            cell=cell,
             term=term,
             is_resent=home_job.may_have_run,
         )
@@ -295,6 +327,9 @@
             waited_ms=context.now_ms - home_job.arrived_ms,
             left_ms=home_job.deadline_ms - context.now_ms,
             is_resent=home_job.may_have_run,
+            n_cells=home_job.n_cells,
+            cell=home_job.cell,
+            is_passed_on=home_job.is_passed_on,
         )
         self._send(home_job.owner[0], message)
 
--- a/buckthornshift/dispatch/_internal.py
+++ b/buckthornshift/dispatch/_internal.py
@@ -44,22 +44,37 @@
 
 @attrs.frozen(kw_only=True)
 class OwnerChanged:
-    """The owner that this instance knows of has changed, or its claim is complete."""
+    """The owner of a cell has changed, or its claim is complete."""
 
 
 @attrs.frozen(kw_only=True)
 class ClaimBegun:
-    """This instance claims the servers.
+    """This instance claims a cell of the servers.
 
-    :param term: its term.
+    :param cell: the cell.
     """
 
-    term: int = 0
+    cell: int = 0
 
 
 @attrs.frozen(kw_only=True)
 class ClaimEnded:
-    """This instance gives the servers up."""
+    """This instance gives a cell of the servers up.
+
+    :param cell: the cell.
+    """
+
+    cell: int = 0
+
+
+@attrs.frozen(kw_only=True)
+class CellsChanged:
+    """The servers are to be divided into more cells; nothing is owned now.
+
+    :param n_cells: how many.
+    """
+
+    n_cells: int = 1
 
 
 @attrs.frozen(kw_only=True)
--- a/buckthornshift/dispatch/_jobs.py
+++ b/buckthornshift/dispatch/_jobs.py
@@ -114,6 +114,7 @@
     :param deadline_ms: when the caller stops to wait.
     :param objective_ms: when its latency objective ends.
     :param chain_ms: expected duration of its longest chain of steps.
+    :param cell: the cell of servers that runs it.
     :param tasks: its tasks, by step and index.
     :param waiting_by_name: those that wait for a server.
     :param waiters: who waits for it.
@@ -131,6 +132,7 @@
     deadline_ms: float = 0.0
     objective_ms: float = 0.0
     chain_ms: float = 0.0
+    cell: int = 0
     tasks: list = attrs.field(factory=list)
     waiting_by_name: dict = attrs.field(factory=dict)
     waiters: list = attrs.field(factory=list)
@@ -215,6 +217,7 @@
         deadline_ms=now_ms + message.left_ms,
         objective_ms=arrived_ms + queue.stretch * estimated_ms + queue.target_ms,
         chain_ms=chain_ms,
+        cell=message.cell,
         is_resent=message.is_resent,
         n_unfinished=[step.n_tasks for step in spec.steps],
     )
--- a/buckthornshift/dispatch/_list_sharing.py
+++ b/buckthornshift/dispatch/_list_sharing.py
@@ -1,4 +1,7 @@
-"""What the owner tells the others of the servers: the list once, then changes."""
+"""What owners tell the others of the servers: the list once, then changes.
+
+The owner of the first cell follows the list, and tells it to the other owners, too.
+"""
 
 from ._actions import SendPeer
 from ._events import PeerLinkOpened
@@ -8,6 +11,8 @@
 # Instances that get the whole list in one beat: it is long (26 KB for 175 servers), and
 # orders to servers wait behind it on the owner's link.
 LISTS_A_BEAT = 4
+# The cell whose owner follows the list of servers for all.
+LIST_CELL = 0
 LESSONS_MS = 2_000.0
 
 
@@ -20,17 +25,17 @@
     :param context: the shared :class:`DispatchContext`.
     :param fleet: the :class:`Fleet`.
     :param membership: the :class:`Membership`.
-    :param election: the :class:`Election`.
+    :param cells: the :class:`Cells`.
     """
 
-    def __init__(self, context=None, fleet=None, membership=None, election=None):
+    def __init__(self, context=None, fleet=None, membership=None, cells=None):
         self.context = context
         self.fleet = fleet
         self.membership = membership
-        self.election = election
+        self.cells = cells
         self._told_record_by_id = {}
         self._told_incarnation_by_address = {}
-        self._lessons = ()
+        self._lessons_by_cell = {}
         self._lessons_ms = -LESSONS_MS
 
     def subscribe(self):
@@ -45,7 +50,8 @@
 
     def on_claim_ended(self, message):
         """Begin anew with the next claim: others have another owner's list then."""
-        self._told_incarnation_by_address.clear()
+        if message.cell == LIST_CELL:
+            self._told_incarnation_by_address.clear()
 
     def on_gap(self, message):
         """Tell an instance the list again that may have missed something."""
@@ -57,15 +63,18 @@
 
     def share(self):
         """Tell changes to those that have the list, and the list to some others."""
-        if not self.election.is_owner:
-            return
-        self._tell_changes()
-        self._tell_lists()
-        self._tell_lessons()
+        if self.cells.is_owner_of(LIST_CELL):
+            self._tell_changes()
+            self._tell_lists()
+        if self.cells.is_owner:
+            self._tell_lessons()
 
     def _tell_changes(self):
-        # Those whose entry vanished are told as well: something may run there.
-        record_by_id = {s.id: s.record for s in self.fleet.by_id.values()}
+        record_by_id = {
+            server.id: server.record
+            for server in self.fleet.by_id.values()
+            if server.unlisted_ms is None
+        }
         told_by_id = self._told_record_by_id
         if record_by_id == told_by_id:
             return
@@ -78,11 +87,21 @@
                 self._send(peer, message)
 
     def _tell_lists(self):
-        lacking = [p for p in self.membership.list_live() if not self._has_list(p)]
+        lacking = []
+        for peer in self.membership.list_live():
+            if not (peer.beat.claims or self.membership.is_hub(peer.address)):
+                self._told_incarnation_by_address.pop(peer.address, None)
+            elif not self._has_list(peer):
+                lacking.append(peer)
         # A rival is to know first what may run where.
-        lacking.sort(key=lambda peer: not peer.beat.claim_term)
-        servers = tuple(self._told_record_by_id.values())
-        message = ServersShared(servers=servers, is_whole=True)
+        lacking.sort(key=lambda peer: not peer.beat.claims)
+        # Those whose entry vanished are told as well: something may run there.
+        servers = self.fleet.by_id.values()
+        message = ServersShared(
+            servers=tuple(server.record for server in servers),
+            gone_ids=tuple(s.id for s in servers if s.unlisted_ms is not None),
+            is_whole=True,
+        )
         for peer in lacking[:LISTS_A_BEAT]:
             self._told_incarnation_by_address[peer.address] = peer.incarnation
             self._send(peer, message)
@@ -92,12 +111,16 @@
         if now_ms - self._lessons_ms < LESSONS_MS:
             return
         self._lessons_ms = now_ms
-        former, self._lessons = self._lessons, self.fleet.list_lessons()
-        if not self._lessons and not former:
-            return
-        message = LessonsShared(lessons=self._lessons)
-        for peer in self.membership.list_live():
-            self._send(peer, message)
+        for cell in self.cells.list_owned():
+            former = self._lessons_by_cell.get(cell, ())
+            lessons = self.fleet.list_lessons(cell)
+            self._lessons_by_cell[cell] = lessons
+            if not lessons and not former:
+                continue
+            message = LessonsShared(cell=cell, lessons=lessons)
+            for peer in self.membership.list_live():
+                if self.membership.is_hub(peer.address):
+                    self._send(peer, message)
 
     def _has_list(self, peer):
         told = self._told_incarnation_by_address.get(peer.address)
--- a/buckthornshift/dispatch/_membership.py
+++ b/buckthornshift/dispatch/_membership.py
@@ -3,8 +3,14 @@
 An instance counts as lost by the age of the last own beat that it confirmed. So the
 sender knows for certain that the other side heard it at that time or later, in a
 silence of either direction.
+
+Answers the pattern of very many instances, too: everyone keeps in close contact with
+the owners, but with all others only while they are few. Among many, the highest in rank
+are hubs, from which the next owners come.
 """
 
+import heapq
+
 import attrs
 
 from ._actions import DialPeer, ForgetPeer, LogCode, SendPeer
@@ -20,6 +26,10 @@
 # A beat of an idle pair is confirmed by the other side's next one, and a newer one by
 # the one after that.
 IDLE_BEATS_TO_CONFIRM = 2.0
+# Beats of 40 instances in the idle interval of 500 ms; of more, none comes sooner.
+IDLE_MS_A_PEER = 12.5
+# Addresses in one beat; 1.3 KB.
+ADDRESSES_A_BEAT = 64
 
 
 @attrs.define(kw_only=True)
@@ -37,8 +47,9 @@
     :param n_unheard_dials: dials since it was last heard or found.
     :param found_ms: when its address became known.
     :param shared_ms: when the configuration was last given to it.
-    :param n_told: number of addresses that it was last told.
     :param is_live: whether it is in contact.
+    :param live_number: counts the times that any instance came into contact.
+    :param told_number: highest such number whose address it was told.
     """
 
     address: str = ""
@@ -52,8 +63,9 @@
     n_unheard_dials: int = 0
     found_ms: float = 0.0
     shared_ms: float = -1e9
-    n_told: int = -1
     is_live: bool = False
+    live_number: int = 0
+    told_number: int = 0
 
     @property
     def rank(self):
@@ -74,10 +86,13 @@
     def __init__(self, context=None):
         self.context = context
         self.by_address = {}
-        self.describe_claim = lambda: {}
+        self.describe_claims = lambda: {}
         self.is_owner = lambda: False
+        self.has_all_owners = lambda: False
         self.read_lag = lambda: 0.0
-        self._has_owner = False
+        self._are_cells_owned = False
+        self._hubs = None
+        self._n_contacts = 0
 
     def subscribe(self):
         """Return handlers by message class."""
@@ -102,6 +117,15 @@
             return False
         return incarnation in (None, peer.incarnation)
 
+    def is_hub(self, address):
+        """Return whether an instance is close to this one, besides the owners."""
+        return self._hubs is None or address in self._hubs
+
+    @property
+    def is_own_hub(self):
+        """Whether this instance is close to all hubs."""
+        return self.is_hub(self.context.identity.address)
+
     def on_found(self, event):
         """Dial instances that are not known yet."""
         for address in event.addresses:
@@ -111,7 +135,7 @@
         """Beat at once on a new connection, so that contact begins."""
         peer = self.by_address.get(event.address)
         if peer is not None:
-            peer.n_told = -1
+            peer.told_number = 0
             self._beat(peer)
 
     def on_received(self, event):
@@ -128,20 +152,21 @@
         """Beat to those that are due, and judge who is lost."""
         context = self.context
         context.start_timer(context.settings.beat_ms, BeatDue())
-        claim = self.describe_claim()
-        self._has_owner = any(p.beat.claim_term for p in self.list_live())
+        claims = self.describe_claims()
+        self._are_cells_owned = self.has_all_owners()
+        self._hubs = self._find_hubs()
         for peer in list(self.by_address.values()):
             self._judge(peer)
             self._redial_if_silent(peer)
             interval_ms = self._choose_interval(peer) - context.settings.beat_ms / 2
             if context.now_ms - peer.beaten_ms >= interval_ms:
-                self._beat(peer, claim)
+                self._beat(peer, claims)
 
     def beat_now(self):
         """Beat to everyone at once, for news that others wait for."""
-        claim = self.describe_claim()
+        claims = self.describe_claims()
         for peer in self.by_address.values():
-            self._beat(peer, claim)
+            self._beat(peer, claims)
 
     def _add(self, address):
         context = self.context
@@ -206,11 +231,13 @@
         is_live = age_ms <= self._choose_patience(peer)
         if is_live and not peer.is_live:
             peer.is_live = True
+            self._n_contacts += 1
+            peer.live_number = self._n_contacts
             self._beat(peer)
         elif peer.is_live and not is_live:
             context.log(LogCode.PEER_LOST, peer.address, confirmed_age_ms=round(age_ms))
             self._lose(peer)
-        elif age_ms > FORGET_AFTER_MS:
+        elif age_ms > FORGET_AFTER_MS + self._choose_patience(peer):
             self._forget(peer)
 
     def _lose(self, peer):
@@ -234,38 +261,71 @@
             # It may not have listened yet when it was dialled first.
             n_doublings = min(max(0, peer.n_unheard_dials - 1), MAX_DIAL_DOUBLINGS)
             patience_ms = 2.0 * context.settings.beat_ms * 2**n_doublings
-        if self._choose_interval(peer) > context.settings.beat_ms:
-            patience_ms += IDLE_BEATS_TO_CONFIRM * context.settings.idle_beat_ms
+        interval_ms = self._choose_interval(peer)
+        if interval_ms > context.settings.beat_ms:
+            patience_ms += IDLE_BEATS_TO_CONFIRM * interval_ms
         if context.now_ms - seen_ms > patience_ms:
             self._dial(peer)
 
+    def _find_hubs(self):
+        """Return addresses of the hubs, or ``None`` if everyone is like one."""
+        live = self.list_live()
+        if len(live) < self.context.settings.few_instances:
+            return None
+        identity = self.context.identity
+        ranks = [(peer.rank, peer.address) for peer in live]
+        own_rank = (identity.power, identity.born_ms, identity.incarnation)
+        ranks.append((own_rank, identity.address))
+        return {
+            address
+            for _, address in heapq.nlargest(self.context.settings.n_hubs, ranks)
+        }
+
     def _choose_interval(self, peer):
         settings = self.context.settings
-        is_close = (
-            self.is_owner()
-            or peer.beat.claim_term
-            or not self._has_owner
-            or not peer.is_live
-        )
-        return settings.beat_ms if is_close else settings.idle_beat_ms
+        if self.is_owner() or peer.beat.claims or not peer.is_live:
+            return settings.beat_ms
+        if self._hubs is None:
+            is_idle = self._are_cells_owned
+            return settings.idle_beat_ms if is_idle else settings.beat_ms
+        n_hubs = self._count_hubs(peer)
+        if n_hubs == 2 or (n_hubs and not self._are_cells_owned):
+            return settings.beat_ms
+        n_peers = len(self.by_address)
+        return max(settings.idle_beat_ms, n_peers * IDLE_MS_A_PEER)
+
+    def _count_hubs(self, peer):
+        return self.is_hub(peer.address) + self.is_own_hub
 
     def _choose_patience(self, peer):
         settings = self.context.settings
-        if peer.beat.claim_term or self.is_owner():
+        if peer.beat.claims or self.is_owner():
             return settings.lost_after_ms
+        if self._hubs is not None and self._count_hubs(peer) < 2:
+            n_peers = len(self.by_address)
+            idle_ms = max(settings.idle_beat_ms, n_peers * IDLE_MS_A_PEER)
+            return settings.lost_after_ms + IDLE_BEATS_TO_CONFIRM * idle_ms
         # Without an owner everybody beats often, but some learn of it later.
-        n_beats = IDLE_BEATS_TO_CONFIRM if self._has_owner else 1.0
+        n_beats = IDLE_BEATS_TO_CONFIRM if self._are_cells_owned else 1.0
         return settings.lost_after_ms + n_beats * settings.idle_beat_ms
 
-    def _beat(self, peer, claim=None):
+    def _choose_addresses(self, peer):
+        """Return the addresses of instances in contact that one is to be told."""
+        is_told = peer.told_number >= self._n_contacts
+        if is_told or not (self.is_hub(peer.address) or self.is_own_hub):
+            return ()
+        untold = [p for p in self.list_live() if p.live_number > peer.told_number]
+        untold.sort(key=lambda other: other.live_number)
+        told = untold[:ADDRESSES_A_BEAT]
+        if peer.is_live:
+            is_all = len(told) == len(untold)
+            peer.told_number = self._n_contacts if is_all else told[-1].live_number
+        return tuple(other.address for other in told)
+
+    def _beat(self, peer, claims=None):
         context = self.context
         identity = context.identity
         peer.beaten_ms = context.now_ms
-        addresses = ()
-        live = self.list_live()
-        if len(live) != peer.n_told or not peer.is_live:
-            peer.n_told = len(live)
-            addresses = tuple(p.address for p in live)
         beat = Beat(
             sent_ms=context.now_ms,
             echo_ms=peer.beat.sent_ms if peer.heard_ms is not None else -1.0,
@@ -276,7 +336,7 @@
             config_version=context.configuration.version,
             is_leaving=context.is_stopping,
             lag_ms=round(self.read_lag(), 1),
-            addresses=addresses,
-            **(claim or self.describe_claim()),
+            addresses=self._choose_addresses(peer),
+            **(claims or self.describe_claims()),
         )
         context.emit(SendPeer(address=peer.address, message=beat))
--- a/buckthornshift/dispatch/_owner_jobs.py
+++ b/buckthornshift/dispatch/_owner_jobs.py
@@ -21,7 +21,7 @@
     :param context: the shared :class:`DispatchContext`.
     :param fleet: the :class:`Fleet`.
     :param membership: the :class:`Membership`.
-    :param election: the :class:`Election`.
+    :param cells: the :class:`Cells`.
     :param admission: the :class:`Admission`.
     :param durations: the :class:`Durations`.
     """
@@ -31,19 +31,20 @@
         context=None,
         fleet=None,
         membership=None,
-        election=None,
+        cells=None,
         admission=None,
         durations=None,
     ):
         self.context = context
         self.fleet = fleet
         self.membership = membership
-        self.election = election
+        self.cells = cells
         self.admission = admission
         self.durations = durations
         self.runs = None
         self.by_id = {}
         self._ended_by_waiter = {}
+        self._other_cell_by_id = {}
         self._deadline_timer_by_id = {}
 
     def subscribe(self):
@@ -57,9 +58,13 @@
             HousekeepingDue: self.on_housekeeping,
         }
 
-    def list_open(self):
-        """Return the jobs that have no outcome."""
-        return [job for job in self.by_id.values() if not job.is_ended]
+    def list_open(self, cell=None):
+        """Return the jobs that have no outcome, of one cell or of all."""
+        return [
+            job
+            for job in self.by_id.values()
+            if not job.is_ended and cell in (None, job.cell)
+        ]
 
     def on_received(self, event):
         """Take a submission, or the news that its caller has left."""
@@ -100,7 +105,7 @@
 
     def on_claim_ended(self, message):
         """Give waiting jobs back; those with runs go on here."""
-        for job in self.list_open():
+        for job in self.list_open(message.cell):
             if not self.runs.count_open(job):
                 self.return_job(job)
 
@@ -111,6 +116,10 @@
             if self._ended_by_waiter[waiter][0] > oldest_ms:
                 break
             del self._ended_by_waiter[waiter]
+        for job_id in list(self._other_cell_by_id):
+            if self._other_cell_by_id[job_id][0] > oldest_ms:
+                break
+            del self._other_cell_by_id[job_id]
 
     def complete(self, job):
         """End a job whose tasks are all done."""
@@ -159,7 +168,7 @@
         job = self.by_id.get(message.job_id)
         if job is None:
             return
-        is_left_over = not self.election.is_owner and not job.is_ended
+        is_left_over = not self.cells.is_owner_of(job.cell) and not job.is_ended
         if (job.is_returned or is_left_over) and not self.runs.count_open(job):
             self.return_job(job)
 
@@ -177,23 +186,53 @@
             others = [w for w in known.waiters if not waiter.is_same_submission(w)]
             known.waiters = [*others, waiter]
             return
-        if not self.election.is_owner:
+        is_same_division = message.n_cells == self.cells.n_cells
+        if not is_same_division or not self.cells.is_owner_of(message.cell):
             self._give_back(waiter, EndReason.NOT_OWNER)
             return
         job = self._build(message)
         job.waiters.append(waiter)
-        refusal = self.admission.check(job, self.list_open())
-        if refusal is not None:
-            self._refuse(job, refusal)
+        if not message.is_passed_on and job.job_id in self._other_cell_by_id:
+            # Another try may run there.
+            self._pass_on(job, waiter, self._other_cell_by_id[job.job_id][1])
+            return
+        refusal = self.admission.check(job, self.list_open(job.cell))
+        if refusal is None:
+            self._accept(job)
             return
-        self._accept(job)
+        other_cell = None if message.is_passed_on else self._find_other(job, refusal)
+        if other_cell is None:
+            self._refuse(job, refusal)
+        else:
+            self._pass_on(job, waiter, other_cell)
+
+    def _find_other(self, job, refusal):
+        """Return a cell that may take a job which its own one does not."""
+        steps = job.spec.steps
+        service = job.queue.service
+        is_infeasible = refusal.reason is EndReason.INFEASIBLE
+        return self.cells.find_other(
+            job.cell,
+            need_cpu=None if is_infeasible else max(s.need.cpu for s in steps),
+            can_run=lambda cell: all(
+                self.fleet.can_ever_run(service, step, cell) for step in steps
+            ),
+        )
+
+    def _pass_on(self, job, waiter, cell):
+        self._other_cell_by_id[job.job_id] = (self.context.now_ms, cell)
+        self.context.log(
+            LogCode.JOB_PASSED_ON, job.job_id, from_cell=job.cell, to_cell=cell
+        )
+        self._give_back(waiter, EndReason.CELL_FULL, cell)
 
-    def _give_back(self, waiter, reason):
+    def _give_back(self, waiter, reason, cell=0):
         ended = JobEnded(
             key=waiter.key,
             attempt=waiter.attempt,
             outcome=Outcome.RETURNED,
             reason=reason,
+            cell=cell,
         )
         self._remember(waiter, ended)
         self._send(waiter, ended)
--- a/buckthornshift/dispatch/_peer_messages.py
+++ b/buckthornshift/dispatch/_peer_messages.py
@@ -7,6 +7,24 @@
 from ._declarations import Configuration, JobSpec, Queue, ServerRecord
 
 
+@attrs.frozen(kw_only=True)
+class CellClaim:
+    """The sender owns a cell of the servers.
+
+    :param cell: number of the cell.
+    :param term: term under which it owns it.
+    :param n_owned: servers that it owns; the larger claim stands.
+    :param is_complete: whether every listed server has accepted that term.
+    :param free_cpu: room without what waits for it, in thousandths of a core.
+    """
+
+    cell: int = 0
+    term: int = 0
+    n_owned: int = 0
+    is_complete: bool = False
+    free_cpu: int = 0
+
+
 @attrs.frozen(kw_only=True)
 class Beat:
     """Sign of life; what an instance tells every other one again and again.
@@ -18,14 +36,13 @@
     :param name: see :class:`DispatchIdentity`.
     :param zone: see :class:`DispatchIdentity`.
     :param config_version: version of the configuration in force.
-    :param claim_term: term under which the sender owns the servers; 0 if it doesn't.
-    :param n_owned: servers that it owns; the larger claim stands.
-    :param is_claim_complete: whether every listed server has accepted that term.
+    :param n_cells: number of cells that the sender divides the servers into.
+    :param claims: the cells that it owns.
     :param is_eligible: whether it could own the servers.
     :param is_leaving: whether it is stopping.
     :param lag_ms: how long what arrives at it waits to be read.
     :param held_ids: servers that a former owner has not released yet.
-    :param addresses: instances that it is in contact with; empty if told before.
+    :param addresses: instances that it is in contact with, without those told before.
     """
 
     sent_ms: float = 0.0
@@ -35,9 +52,8 @@
     name: str = ""
     zone: str = ""
     config_version: int = 0
-    claim_term: int = 0
-    n_owned: int = 0
-    is_claim_complete: bool = False
+    n_cells: int = 1
+    claims: tuple[CellClaim, ...] = ()
     is_eligible: bool = False
     is_leaving: bool = False
     lag_ms: float = 0.0
@@ -57,6 +73,9 @@
     :param waited_ms: time since the caller's request arrived.
     :param left_ms: time until the caller's deadline.
     :param is_resent: whether a former owner may have started it.
+    :param n_cells: number of cells as the sender knows it.
+    :param cell: the cell that is to run it.
+    :param is_passed_on: whether another cell had no room for it.
     """
 
     key: int = 0
@@ -66,6 +85,9 @@
     waited_ms: float = 0.0
     left_ms: float = 0.0
     is_resent: bool = False
+    n_cells: int = 1
+    cell: int = 0
+    is_passed_on: bool = False
 
 
 class Outcome(enum.StrEnum):
@@ -89,6 +111,7 @@
     NO_OWNER = "no_owner"
     NOT_OWNER = "not_owner"
     OUT_OF_CONTACT = "out_of_contact"
+    CELL_FULL = "cell_full"
     NO_CONFIGURATION = "no_configuration"
     STOPPING = "stopping"
 
@@ -103,6 +126,7 @@
     :param reason: why it did not complete.
     :param may_have_run: whether a task of it may have begun.
     :param retry_after_ms: when asking again can help; 0 if unknown.
+    :param cell: where a job goes for which there is no room.
     """
 
     key: int = 0
@@ -111,6 +135,7 @@
     reason: EndReason = EndReason.NONE
     may_have_run: bool = False
     retry_after_ms: float = 0.0
+    cell: int = 0
 
 
 @attrs.frozen(kw_only=True)
@@ -144,7 +169,7 @@
     """The owner tells its list of backend servers, or what changed in it.
 
     :param servers: the whole list, or what is new or different.
-    :param gone_ids: servers that are no longer in it.
+    :param gone_ids: servers that are no longer in it, though some may still run tasks.
     :param is_whole: whether it is the whole list.
     """
 
@@ -155,11 +180,13 @@
 
 @attrs.frozen(kw_only=True)
 class LessonsShared:
-    """The owner tells what it has learned of servers.
+    """An owner tells what it has learned of the servers of its cell.
 
+    :param cell: the cell.
     :param lessons: servers that are not as good as the others; all others are.
     """
 
+    cell: int = 0
     lessons: tuple[ServerLesson, ...] = ()
 
 
--- a/buckthornshift/dispatch/_placing.py
+++ b/buckthornshift/dispatch/_placing.py
@@ -20,15 +20,15 @@
     :param fleet: the :class:`Fleet`.
     :param jobs: the :class:`OwnerJobs`.
     :param runs: the :class:`RunBook`.
-    :param election: the :class:`Election`.
+    :param cells: the :class:`Cells`.
     """
 
-    def __init__(self, context=None, fleet=None, jobs=None, runs=None, election=None):
+    def __init__(self, context=None, fleet=None, jobs=None, runs=None, cells=None):
         self.context = context
         self.fleet = fleet
         self.jobs = jobs
         self.runs = runs
-        self.election = election
+        self.cells = cells
         self.is_needed = False
 
     def request(self, message):
@@ -38,14 +38,24 @@
     def pump(self):
         """Start what can start now, the most urgent first."""
         self.is_needed = False
-        if not self.election.is_owner:
-            return
+        for cell in self.cells.list_owned():
+            self._pump_cell(cell)
+
+    def count_waiting_cpu(self, cell):
+        """Return what waits for room in a cell, in thousandths of a core."""
+        return sum(
+            task.spec.need.cpu
+            for job in self.jobs.list_open(cell)
+            for task in job.waiting_by_name.values()
+        )
+
+    def _pump_cell(self, cell):
         now_ms = self.context.now_ms
-        jobs = [job for job in self.jobs.list_open() if job.waiting_by_name]
+        jobs = [job for job in self.jobs.list_open(cell) if job.waiting_by_name]
         if not jobs:
             return
         jobs.sort(key=lambda job: rank_job(job, now_ms))
-        room_by_service = self._find_rooms(jobs)
+        room_by_service = self._find_rooms(jobs, cell)
         for job in jobs:
             if self._is_hopeless(job):
                 self._give_up(job)
@@ -54,8 +64,8 @@
             if self._is_patience_over(job):
                 self._give_up(job)
 
-    def _find_rooms(self, jobs):
-        """Return the room of each service that some jobs wait for."""
+    def _find_rooms(self, jobs, cell):
+        """Return the room in a cell of each service that some jobs wait for."""
         least_cpu_by_service = {}
         for job in jobs:
             service = job.queue.service
@@ -64,7 +74,7 @@
             least_cpu_by_service[service] = min(known_cpu, need_cpu)
         room_by_service = {}
         for service, least_cpu in least_cpu_by_service.items():
-            servers = list(self.fleet.iter_open(service))
+            servers = list(self.fleet.iter_open(service, cell))
             suspect_ids = self.fleet.find_suspects(servers)
             room_by_service[service] = _Room(servers, least_cpu, suspect_ids)
         return room_by_service
--- a/buckthornshift/dispatch/_shedding.py
+++ b/buckthornshift/dispatch/_shedding.py
@@ -1,9 +1,8 @@
 """Refuse jobs where they arrive while the owner is short of processor time."""
 
-import hashlib
-
 from ._admission import JobRefusal
 from ._events import ProbeDue
+from ._hashing import HASH_BITS, hash_name
 from ._peer_messages import EndReason
 
 # Weight of the newest measurement; at one each 50 ms the last 100 ms count.
@@ -52,7 +51,7 @@
         """
         lag_ms = self._read_owner_lag(owner_address)
         share = (lag_ms - LAG_LOW_MS) / (LAG_HIGH_MS - LAG_LOW_MS)
-        if _draw_share(job_id) >= share:
+        if hash_name(job_id) / 2**HASH_BITS >= share:
             return None
         least_ms = self.context.settings.min_retry_after_ms
         return JobRefusal(
@@ -66,9 +65,3 @@
             return self.lag_ms
         peer = self.membership.by_address.get(address)
         return 0.0 if peer is None else peer.beat.lag_ms
-
-
-def _draw_share(job_id):
-    """Return a number from 0 to 1 that belongs to a job at every instance."""
-    digest = hashlib.blake2b(job_id.encode(), digest_size=4).digest()
-    return int.from_bytes(digest) / 2**32
--- a/buckthornshift/proving/fleet/__init__.py
+++ b/buckthornshift/proving/fleet/__init__.py
@@ -13,6 +13,7 @@
 from ._runner import (
     FleetResult,
     run_busy_fleet_seed,
+    run_cells_seed,
     run_fleet_plan,
     run_fleet_seed,
 )
@@ -34,6 +35,7 @@
     "ServerKind",
     "draw_fleet_plan",
     "run_busy_fleet_seed",
+    "run_cells_seed",
     "run_fleet_plan",
     "run_fleet_seed",
 ]
--- a/buckthornshift/proving/fleet/_runner.py
+++ b/buckthornshift/proving/fleet/_runner.py
@@ -4,10 +4,11 @@
 
 import attrs
 
+from ...dispatch import DispatchSettings
 from ._callers import FleetCallers
 from ._faults import FleetFaultInjector
 from ._oracle import FleetCounts, FleetRule, FleetRuleError
-from ._plan import draw_fleet_plan
+from ._plan import FleetFault, PlannedFault, draw_fleet_plan
 from ._world import FleetWorld
 
 CHECK_INTERVAL_MS = 100.0
@@ -47,6 +48,44 @@
     return run_fleet_plan(attrs.evolve(plan, event_ms=event_ms))
 
 
+# Limits at which a run of a dozen instances and two dozen servers is a large one.
+CELL_SERVERS = (2, 3, 6)
+FEW_INSTANCES = (2, 4, 40)
+N_HUBS = (2, 3)
+GROW_AFTER_MS = (100.0, 1_000.0)
+MAX_ADDED = 4
+
+
+def run_cells_seed(seed, kinds=None, n_faults=None):
+    """Run one seed on servers that are divided into cells.
+
+    :param seed: the seed; it decides into how many, besides the rest.
+    :param kinds: fault kinds to draw from; ``None`` for all.
+    :param n_faults: number of faults; ``None`` to draw it.
+    """
+    plan = draw_fleet_plan(random.Random(seed), seed, kinds, n_faults)
+    random_state = random.Random(seed + 1)
+    settings = DispatchSettings(
+        cell_servers=random_state.choice(CELL_SERVERS),
+        few_instances=random_state.choice(FEW_INSTANCES),
+        n_hubs=random_state.choice(N_HUBS),
+        grow_after_ms=random_state.choice(GROW_AFTER_MS),
+    )
+    n_nodes = plan.n_nodes + random_state.randint(0, 5)
+    n_servers = plan.n_servers + random_state.randint(0, 12)
+    added = [
+        PlannedFault(
+            kind=FleetFault.SERVER_ADDED,
+            start_ms=random_state.uniform(0.0, plan.busy_ms),
+        )
+        for _ in range(random_state.randint(0, MAX_ADDED))
+    ]
+    plan = attrs.evolve(
+        plan, n_nodes=n_nodes, n_servers=n_servers, faults=(*plan.faults, *added)
+    )
+    return run_fleet_plan(plan, settings)
+
+
 def run_fleet_seed(seed, kinds=None, n_faults=None, settings=None, on_log=None):
     """Run one seed and return its :class:`FleetResult`.
 
--- a/buckthornshift/proving/fleet/_world.py
+++ b/buckthornshift/proving/fleet/_world.py
@@ -189,7 +189,7 @@
     def find_owner(self):
         """Return an instance that owns the servers, or ``None``."""
         for node in self.nodes:
-            if node.core is not None and node.core.election.is_owner:
+            if node.core is not None and node.core.cells.is_owner:
                 return node
         return None
 
--- a/tests/dispatch/owner_harness.py
+++ b/tests/dispatch/owner_harness.py
@@ -25,13 +25,15 @@
     :param queues: declared queues.
     :param servers: listed servers.
     :param address: address of the instance.
+    :param settings: the :class:`~buckthornshift.dispatch.DispatchSettings`.
     """
 
-    def __init__(self, queues=(), servers=(), address="o:1"):
+    def __init__(self, queues=(), servers=(), address="o:1", settings=None):
         self.now_ms = 0.0
         self.actions = []
         self.core = DispatchCore(
             identity=DispatchIdentity(address=address, incarnation=1),
+            settings=settings,
             random_state=random.Random(1),
         )
         self.take(self.core.start(0.0, WALL_MS))
--- a/tests/dispatch/test_homes.py
+++ b/tests/dispatch/test_homes.py
@@ -7,6 +7,7 @@
 from buckthornshift.dispatch import (
     AnswerCaller,
     Beat,
+    CellClaim,
     Configuration,
     ConfigurationRead,
     DispatchCore,
@@ -64,9 +65,7 @@
                 Beat(
                     sent_ms=self.now_ms,
                     echo_ms=self.now_ms,
-                    claim_term=5,
-                    n_owned=1,
-                    is_claim_complete=True,
+                    claims=(CellClaim(term=5, n_owned=1, is_complete=True),),
                     lag_ms=self.lag_ms,
                 )
             )
--- a/tests/dispatch/test_list_sharing.py
+++ b/tests/dispatch/test_list_sharing.py
@@ -96,7 +96,7 @@
 
 def test_an_instance_follows_the_changes_that_it_is_told():
     other = Owner()
-    other.core.election.term = 0
+    other.core.cells.get(0).term = 0
     other.hear(ServersShared(servers=SERVERS, is_whole=True))
     added = attrs.evolve(SERVERS[0], server_id="new")
     other.hear(ServersShared(servers=(added,), gone_ids=("s1",)))
@@ -110,6 +110,6 @@
     (message,) = [
         a.message for a in owner.pop(SendPeer) if isinstance(a.message, LessonsShared)
     ]
-    other.core.election.term = 0
+    other.core.cells.get(0).term = 0
     other.hear(message)
     assert other.core.fleet.by_id["s1"].slowness == 4.0
--- a/tests/dispatch/test_submissions.py
+++ b/tests/dispatch/test_submissions.py
@@ -52,11 +52,11 @@
     """A repeat over a new link came after its home had passed the job on."""
     owner = Owner()
     owner.contact()
-    owner.core.election.term, term = 0, owner.core.election.term
+    owner.core.cells.get(0).term, term = 0, owner.core.cells.get(0).term
     owner.receive(make_submission(attempt=1))
     (returned,) = owner.pop_ended()
     assert returned.outcome is Outcome.RETURNED
-    owner.core.election.term = term
+    owner.core.cells.get(0).term = term
     owner.receive(make_submission(attempt=1))
     assert not owner.pop(StartRun)
     (again,) = owner.pop_ended()
@@ -66,9 +66,9 @@
 def test_a_new_try_at_the_same_owner_is_started():
     owner = Owner()
     owner.contact()
-    owner.core.election.term, term = 0, owner.core.election.term
+    owner.core.cells.get(0).term, term = 0, owner.core.cells.get(0).term
     owner.receive(make_submission(attempt=1))
-    owner.core.election.term = term
+    owner.core.cells.get(0).term = term
     owner.receive(make_submission(attempt=2))
     assert len(owner.pop(StartRun)) == 1
 
--- a/tests/proving/fleet/test_fleet_mutations.py
+++ b/tests/proving/fleet/test_fleet_mutations.py
@@ -159,7 +159,8 @@
         "buckthornshift.dispatch._election.Election._claim_if_due",
         lambda self: (
             self._begin_claim()
-            if 500.0 <= self.context.now_ms < 700.0 and self._is_candidate()
+            if 500.0 <= self.context.now_ms < 700.0
+            and self.cells.is_first_for(self.cell)
             else None
         ),
     )
