FIX Owners with cells agree on the list; a claim is complete only with it

Now whose list counts is decided by the claims in the beats, and a list that stays different for a second is told again; a job is offered to the same owner again once nothing of it can run; without the list a claim is complete only after everything that was started before it has lapsed. Ruled out: telling the list to every instance among many (195 KB each).

--- a/buckthornshift/dispatch/_cells.py
+++ b/buckthornshift/dispatch/_cells.py
@@ -138,6 +138,7 @@
         return {
             "n_cells": self.n_cells,
             "claims": tuple(self._describe_claim(e) for e in self._list_own()),
+            "list_digest": self.fleet.digest(),
             "is_eligible": self.is_eligible(),
             "held_ids": tuple(self.list_held()),
         }
--- a/buckthornshift/dispatch/_election.py
+++ b/buckthornshift/dispatch/_election.py
@@ -43,6 +43,7 @@
         self.term = 0
         self.owner = None
         self.is_claim_complete = False
+        self.claimed_ms = 0.0
         self._highest_term = 0
         self._ownerless_since_ms = None
 
@@ -140,6 +141,7 @@
         by_clock = int(context.wall_ms / 1000.0) - TERM_EPOCH_S
         self.term = max(self._highest_term + 1, by_clock, 1)
         self._highest_term = self.term
+        self.claimed_ms = context.now_ms
         self.is_claim_complete = False
         self._ownerless_since_ms = None
         context.counters.n_claims += 1
--- a/buckthornshift/dispatch/_fleet.py
+++ b/buckthornshift/dispatch/_fleet.py
@@ -5,7 +5,7 @@
 import attrs
 
 from ._declarations import Resources, ServerRecord
-from ._hashing import hash_name
+from ._hashing import HASH_BITS, hash_name
 from ._peer_messages import ServerLesson
 
 # Part of an availability zone's servers of which more are not called suspect at once:
@@ -180,6 +180,14 @@
                 vanished.append(server)
         return added, changed, vanished
 
+    def digest(self):
+        """Return a number that differs for different lists."""
+        return sum(
+            server.hash + server.record.is_draining
+            for server in self.by_id.values()
+            if server.unlisted_ms is None
+        ) % (2**HASH_BITS)
+
     def is_open(self, server):
         """Return whether a server may get a new task now."""
         return (
--- a/buckthornshift/dispatch/_holding.py
+++ b/buckthornshift/dispatch/_holding.py
@@ -51,7 +51,7 @@
         self.runs = runs
         self.sharing = sharing
         self._is_yielding = False
-        self._is_list_told = False
+        self._may_lack_servers = False
         cells.list_held = self.list_held
 
     def subscribe(self):
@@ -103,7 +103,6 @@
     def on_servers_read(self, event):
         """Take over a list that was read from the store."""
         self._read_list(event.servers)
-        self._is_list_told = True
         self.sharing.share()
 
     def on_peer(self, event):
@@ -152,8 +151,8 @@
                 self.hold(server)
         self.cells.fit(len(self.fleet.records))
         if not self.cells.is_owner and not self.membership.is_own_hub:
-            # Nobody tells it changes.
-            self._is_list_told = False
+            # Nobody tells it changes, and the store may have lost entries.
+            self._may_lack_servers = True
         for cell in self.cells.list_owned():
             self._check_complete(cell)
 
@@ -269,10 +268,13 @@
         return is_stale or (has_ack and age_ms > ACK_IDLE_MS)
 
     def _is_list_of_rival(self, address):
+        """Return whether an owner hears a list from another than its keeper."""
         if not self.cells.is_owner:
             return False
-        keeper = self.cells.get(LIST_CELL).owner
-        return keeper is None or keeper[0] != address
+        claims = self.cells.list_claims(LIST_CELL)
+        _, keeper, _ = max(claims, key=lambda claim: claim[0], default=(0, None, 0))
+        is_own = self.cells.is_owner_of(LIST_CELL)
+        return is_own or keeper is None or keeper.address != address
 
     def _read_list(self, records):
         context = self.context
@@ -294,7 +296,7 @@
         if message.is_whole:
             # What is gone is read first as if it were listed, for what it may run.
             self._read_list(message.servers)
-            self._is_list_told = True
+            self._may_lack_servers = False
         record_by_id = {record.server_id: record for record in self.fleet.records}
         if not message.is_whole:
             record_by_id |= {record.server_id: record for record in message.servers}
@@ -461,8 +463,12 @@
 
     def _check_complete(self, cell):
         election = self.cells.get(cell)
-        is_told = self._is_list_told or self.membership.is_own_hub
-        if not election.is_owner or election.is_claim_complete or not is_told:
+        if not election.is_owner or election.is_claim_complete:
+            return
+        age_ms = self.context.now_ms - election.claimed_ms
+        lapsed_ms = self.context.settings.resubmit_after_ms
+        if self._may_lack_servers and age_ms < lapsed_ms:
+            # Something may run on a server that it does not know.
             return
         servers = self.fleet.list_cell(cell)
         if servers and all(s.ownership is Ownership.OWNED for s in servers):
--- a/buckthornshift/dispatch/_homes.py
+++ b/buckthornshift/dispatch/_homes.py
@@ -152,6 +152,8 @@
         """Pass on a job of which nothing can run any more."""
         home_job = self.by_key.get(message.key)
         if home_job is not None:
+            # One that lost a server to another owner may have it again.
+            home_job.declined_by = None
             self._route(home_job)
 
     def on_link_opened(self, event):
--- a/buckthornshift/dispatch/_list_sharing.py
+++ b/buckthornshift/dispatch/_list_sharing.py
@@ -14,13 +14,15 @@
 # The cell whose owner follows the list of servers for all.
 LIST_CELL = 0
 LESSONS_MS = 2_000.0
+# What was told shows in the beats by then, ten beats later.
+RETELL_MS = 1_000.0
 
 
 class ListSharing:
     """Keep the other instances' lists of servers like the owner's.
 
     A message may be lost with its connection, so the list is told again after a loss of
-    contact and over a new connection.
+    contact and over a new connection, and to an instance whose list stays different.
 
     :param context: the shared :class:`DispatchContext`.
     :param fleet: the :class:`Fleet`.
@@ -35,6 +37,8 @@
         self.cells = cells
         self._told_record_by_id = {}
         self._told_incarnation_by_address = {}
+        self._told_ms_by_address = {}
+        self._changed_ms = 0.0
         self._lessons_by_cell = {}
         self._lessons_ms = -LESSONS_MS
 
@@ -81,6 +85,7 @@
         changed = tuple(r for i, r in record_by_id.items() if told_by_id.get(i) != r)
         gone_ids = tuple(i for i in told_by_id if i not in record_by_id)
         self._told_record_by_id = record_by_id
+        self._changed_ms = self.context.now_ms
         message = ServersShared(servers=changed, gone_ids=gone_ids)
         for peer in self.membership.list_live():
             if self._has_list(peer):
@@ -88,10 +93,11 @@
 
     def _tell_lists(self):
         lacking = []
+        digest = self.fleet.digest()
         for peer in self.membership.list_live():
             if not (peer.beat.claims or self.membership.is_hub(peer.address)):
                 self._told_incarnation_by_address.pop(peer.address, None)
-            elif not self._has_list(peer):
+            elif not self._has_list(peer) or self._is_different(peer, digest):
                 lacking.append(peer)
         # A rival is to know first what may run where.
         lacking.sort(key=lambda peer: not peer.beat.claims)
@@ -104,6 +110,7 @@
         )
         for peer in lacking[:LISTS_A_BEAT]:
             self._told_incarnation_by_address[peer.address] = peer.incarnation
+            self._told_ms_by_address[peer.address] = self.context.now_ms
             self._send(peer, message)
 
     def _tell_lessons(self):
@@ -126,5 +133,11 @@
         told = self._told_incarnation_by_address.get(peer.address)
         return told == peer.incarnation
 
+    def _is_different(self, peer, digest):
+        told_ms = self._told_ms_by_address.get(peer.address, 0.0)
+        settled_ms = max(told_ms, self._changed_ms) + RETELL_MS
+        is_settled = self.context.now_ms > settled_ms
+        return is_settled and peer.beat.list_digest != digest
+
     def _send(self, peer, message):
         self.context.emit(SendPeer(address=peer.address, message=message))
--- a/buckthornshift/dispatch/_peer_messages.py
+++ b/buckthornshift/dispatch/_peer_messages.py
@@ -38,6 +38,7 @@
     :param config_version: version of the configuration in force.
     :param n_cells: number of cells that the sender divides the servers into.
     :param claims: the cells that it owns.
+    :param list_digest: number that is the same for the same list of servers.
     :param is_eligible: whether it could own the servers.
     :param is_leaving: whether it is stopping.
     :param lag_ms: how long what arrives at it waits to be read.
@@ -54,6 +55,7 @@
     config_version: int = 0
     n_cells: int = 1
     claims: tuple[CellClaim, ...] = ()
+    list_digest: int = 0
     is_eligible: bool = False
     is_leaving: bool = False
     lag_ms: float = 0.0
--- a/tests/dispatch/test_homes.py
+++ b/tests/dispatch/test_homes.py
@@ -73,7 +73,7 @@
     def submit(self):
         step = StepSpec(n_tasks=1, need=Resources(cpu=1), estimate_ms=50.0)
         job = JobSpec(job_id="0" * 16, payload="p", steps=(step,))
-        self.feed(JobArrived(caller_ref=1, job=job, queue=QUEUE, timeout_ms=2_000.0))
+        self.feed(JobArrived(caller_ref=1, job=job, queue=QUEUE, timeout_ms=3_000.0))
 
     def pop(self, cls):
         found = [a for a in self.actions if isinstance(a, cls)]
@@ -90,13 +90,14 @@
     return Home()
 
 
-def return_job(home, submission, reason):
+def return_job(home, submission, reason, may_have_run=False):
     home.hear(
         JobEnded(
             key=submission.key,
             attempt=submission.attempt,
             outcome=Outcome.RETURNED,
             reason=reason,
+            may_have_run=may_have_run,
         )
     )
 
@@ -120,6 +121,19 @@
     assert home.pop_submissions() == []
 
 
+def test_one_that_may_have_run_is_tried_again_once_nothing_can_run():
+    """Its owner had lost a server, taken it again, and stayed owner all along."""
+    home = Home()
+    home.submit()
+    (first,) = home.pop_submissions()
+    return_job(home, first, EndReason.NOT_OWNER, may_have_run=True)
+    home.pass_time(1_000.0)
+    assert home.pop_submissions() == []
+    home.pass_time(1_000.0)
+    (second,) = home.pop_submissions()
+    assert second.is_resent
+
+
 def test_a_job_for_a_busy_owner_is_refused_where_it_arrives(home):
     """Pattern: the owner is short of processor time."""
     home.lag_ms = 500.0
--- a/tests/dispatch/test_list_sharing.py
+++ b/tests/dispatch/test_list_sharing.py
@@ -14,7 +14,7 @@
     ServersRead,
     ServersShared,
 )
-from buckthornshift.dispatch._list_sharing import LISTS_A_BEAT
+from buckthornshift.dispatch._list_sharing import LISTS_A_BEAT, RETELL_MS
 
 SERVERS = tuple(
     ServerRecord(server_id=f"s{i}", service="s", capacity=Resources(cpu=1_000))
@@ -23,9 +23,10 @@
 
 
 class Owner(OwnerHarness):
-    """An owner with instances in contact."""
+    """An owner with instances in contact, which have its list."""
 
     def __init__(self, n_peers=1):
+        self.peer_digest = None
         self.addresses = [f"p:{i}" for i in range(n_peers)]
         super().__init__(servers=SERVERS)
 
@@ -35,8 +36,13 @@
         while self.now_ms < end_ms:
             super().pass_time(min(50.0, end_ms - self.now_ms))
             for address in self.addresses:
-                beat = Beat(sent_ms=self.now_ms, echo_ms=self.now_ms)
-                self.hear(beat, address)
+                self.hear(self.make_beat(), address)
+
+    def make_beat(self):
+        digest = self.peer_digest
+        if digest is None:
+            digest = self.core.fleet.digest()
+        return Beat(sent_ms=self.now_ms, echo_ms=self.now_ms, list_digest=digest)
 
     def hear(self, message, address="p:0"):
         self.feed(PeerReceived(address=address, incarnation=2, message=message))
@@ -59,6 +65,17 @@
     assert owner.pop_lists() == []
 
 
+def test_an_instance_whose_list_stays_different_gets_it_again():
+    """It had taken the owner for a rival's, and kept a server that was gone."""
+    owner = Owner()
+    owner.pass_time(200.0)
+    owner.pop_lists()
+    owner.peer_digest = 1
+    owner.pass_time(2.5 * RETELL_MS)
+    told = owner.pop_lists()
+    assert [message.is_whole for _, message in told] == [True, True]
+
+
 def test_only_what_changed_is_told():
     owner = Owner()
     owner.pass_time(200.0)
