--- a/buckthornshift/dispatch/_core.py
+++ b/buckthornshift/dispatch/_core.py
@@ -20,6 +20,7 @@
     RunGone,
     ServersChanged,
 )
+from ._list_following import ListFollowing
 from ._list_sharing import ListSharing
 from ._membership import Membership
 from ._owner_jobs import OwnerJobs
@@ -148,13 +149,20 @@
             membership=self.membership,
             cells=self.cells,
         )
+        self.following = ListFollowing(
+            context=context,
+            fleet=self.fleet,
+            membership=self.membership,
+            cells=self.cells,
+            sharing=self.sharing,
+        )
         self.holding = Holding(
             context=context,
             fleet=self.fleet,
             membership=self.membership,
             cells=self.cells,
             runs=self.runs,
-            sharing=self.sharing,
+            following=self.following,
         )
         self.runs.holding = self.holding
         self.shedding = Shedding(context=context, membership=self.membership)
@@ -178,6 +186,7 @@
         self._parts = (
             self.membership,
             self.cells,
+            self.following,
             self.holding,
             self.sharing,
             self.runs,
--- a/buckthornshift/dispatch/_holding.py
+++ b/buckthornshift/dispatch/_holding.py
@@ -1,8 +1,8 @@
 """Taking servers over, renewing leases, reading ends, giving servers back."""
 
-from ._actions import FollowServers, ForgetServer, HoldServer, LogCode
+from ._actions import ForgetServer, HoldServer, LogCode
 from ._election import TOKEN_RANDOM_BITS, make_token
-from ._events import EndKind, HoldAnswered, PeerReceived, ServersRead, Verdict
+from ._events import EndKind, HoldAnswered, Verdict
 from ._fleet import Ownership
 from ._internal import (
     AdoptionOver,
@@ -12,11 +12,10 @@
     HousekeepingDue,
     PeerLost,
     ServerRetryDue,
+    ServersAdded,
     ServersChanged,
 )
 from ._jobs import Run, RunPhase
-from ._list_sharing import LIST_CELL
-from ._peer_messages import LessonsShared, ServersShared
 
 FORGET_UNLISTED_MS = 15_000.0
 # An unacknowledged end on an idle server is acknowledged after this time; well
@@ -32,7 +31,7 @@
     :param membership: the :class:`Membership`.
     :param cells: the :class:`Cells`.
     :param runs: the :class:`RunBook`, told of ends and losses.
-    :param sharing: the :class:`ListSharing`.
+    :param following: the :class:`ListFollowing`.
     """
 
     def __init__(
@@ -42,16 +41,15 @@
         membership=None,
         cells=None,
         runs=None,
-        sharing=None,
+        following=None,
     ):
         self.context = context
         self.fleet = fleet
         self.membership = membership
         self.cells = cells
         self.runs = runs
-        self.sharing = sharing
+        self.following = following
         self._is_yielding = False
-        self._may_lack_servers = False
         cells.list_held = self.list_held
 
     def subscribe(self):
@@ -60,8 +58,7 @@
             ClaimBegun: self.on_claim_begun,
             ClaimEnded: self.on_claim_ended,
             HoldAnswered: self.on_hold_answered,
-            ServersRead: self.on_servers_read,
-            PeerReceived: self.on_peer,
+            ServersAdded: self.on_added,
             PeerLost: self.on_peer_lost,
             BeatDue: self.on_beat_due,
             HousekeepingDue: self.on_housekeeping,
@@ -83,15 +80,11 @@
 
     def on_claim_begun(self, message):
         """Take every server, but those that a former owner still holds."""
-        if message.cell == LIST_CELL:
-            self.context.emit(FollowServers(is_on=True))
         for server in self.fleet.list_cell(message.cell):
             self._take(server)
 
     def on_claim_ended(self, message):
         """Release idle servers at once, the others when their runs have ended."""
-        if message.cell == LIST_CELL:
-            self.context.emit(FollowServers(is_on=False))
         for server in self.fleet.list_cell(message.cell):
             if server.ownership is Ownership.OWNED and not server.is_idle:
                 server.ownership = Ownership.YIELDING
@@ -100,24 +93,10 @@
                 self._abandon(server, Ownership.NONE)
         self.membership.beat_now()
 
-    def on_servers_read(self, event):
-        """Take over a list that was read from the store."""
-        self._read_list(event.servers)
-        self.sharing.share()
-
-    def on_peer(self, event):
-        """Take over what owners tell of the servers.
-
-        An owner adds what only a rival knows: something may run there.
-        """
-        match event.message:
-            case ServersShared() if self._is_list_of_rival(event.address):
-                self._add_unknown(event.message.servers)
-            case ServersShared():
-                self._follow_list(event.message)
-            case LessonsShared(cell=cell, lessons=lessons):
-                if cell < self.cells.n_cells and not self.cells.is_owner_of(cell):
-                    self.fleet.take_lessons(lessons, cell)
+    def on_added(self, message):
+        """Take servers that are new on the list."""
+        for server in message.servers:
+            self._take(server)
 
     def on_peer_lost(self, message):
         """Take the servers that a lost instance still held."""
@@ -149,10 +128,6 @@
                 continue
             if not server.is_idle or self._is_look_due(server):
                 self.hold(server)
-        self.cells.fit(len(self.fleet.records))
-        if not self.cells.is_owner and not self.membership.is_own_hub:
-            # Nobody tells it changes, and the store may have lost entries.
-            self._may_lack_servers = True
         for cell in self.cells.list_owned():
             self._check_complete(cell)
 
@@ -267,55 +242,6 @@
         is_stale = age_ms > self.context.settings.clock_refresh_ms / 2
         return is_stale or (has_ack and age_ms > ACK_IDLE_MS)
 
-    def _is_list_of_rival(self, address):
-        """Return whether an owner hears a list from another than its keeper."""
-        if not self.cells.is_owner:
-            return False
-        claims = self.cells.list_claims(LIST_CELL)
-        _, keeper, _ = max(claims, key=lambda claim: claim[0], default=(0, None, 0))
-        is_own = self.cells.is_owner_of(LIST_CELL)
-        return is_own or keeper is None or keeper.address != address
-
-    def _read_list(self, records):
-        context = self.context
-        added, changed, vanished = self.fleet.read_list(records)
-        for server in added:
-            context.log(LogCode.SERVER_LISTED, server.id, service=server.record.service)
-            self._take(server)
-        self.cells.fit(len(records))
-        for server in changed:
-            if server.record.is_draining:
-                context.log(LogCode.SERVER_DRAINING, server.id)
-        for server in vanished:
-            context.log(LogCode.SERVER_UNLISTED, server.id)
-        if added or changed or vanished:
-            context.post(ServersChanged())
-
-    def _follow_list(self, message):
-        """Read the list that results from what the owner tells."""
-        if message.is_whole:
-            # What is gone is read first as if it were listed, for what it may run.
-            self._read_list(message.servers)
-            self._may_lack_servers = False
-        record_by_id = {record.server_id: record for record in self.fleet.records}
-        if not message.is_whole:
-            record_by_id |= {record.server_id: record for record in message.servers}
-        gone_ids = set(message.gone_ids)
-        records = tuple(r for i, r in record_by_id.items() if i not in gone_ids)
-        if records != self.fleet.records:
-            self._read_list(records)
-
-    def _add_unknown(self, records):
-        known = {record.server_id for record in self.fleet.records}
-        unknown = tuple(
-            record
-            for record in records
-            if record.server_id not in known
-            and record.server_id not in self.fleet.by_id
-        )
-        if unknown:
-            self._read_list((*self.fleet.records, *unknown))
-
     def _take_missing(self):
         for cell in self.cells.list_owned():
             for server in self.fleet.list_cell(cell):
@@ -467,7 +393,7 @@
             return
         age_ms = self.context.now_ms - election.claimed_ms
         lapsed_ms = self.context.settings.resubmit_after_ms
-        if self._may_lack_servers and age_ms < lapsed_ms:
+        if self.following.may_lack_servers and age_ms < lapsed_ms:
             # Something may run on a server that it does not know.
             return
         servers = self.fleet.list_cell(cell)
--- a/buckthornshift/dispatch/_internal.py
+++ b/buckthornshift/dispatch/_internal.py
@@ -77,6 +77,16 @@
     n_cells: int = 1
 
 
+@attrs.frozen(kw_only=True)
+class ServersAdded:
+    """Servers are new on the list.
+
+    :param servers: each new :class:`Server`.
+    """
+
+    servers: tuple = ()
+
+
 @attrs.frozen(kw_only=True)
 class ServersChanged:
     """The list of backend servers has changed."""
