--- a/buckthornshift/cli/_soak.py
+++ b/buckthornshift/cli/_soak.py
@@ -17,8 +17,16 @@
 @click.option("--instances", default=3, show_default=True)
 @click.option("--servers", default=6, show_default=True)
 @click.option("--jobs-per-s", default=15.0, show_default=True)
+@click.option(
+    "--cell-servers",
+    default=256,
+    show_default=True,
+    help="Most servers of one owner.",
+)
 @output_option
-def soak(first_seed, n_seeds, seconds, instances, servers, jobs_per_s, output):
+def soak(
+    first_seed, n_seeds, seconds, instances, servers, jobs_per_s, cell_servers, output
+):
     """Run real processes on loopback, kill, stop and pause them, and check.
 
     A seed decides jobs and faults; the machine's own timing differs from run to run.
@@ -32,6 +40,7 @@
             n_instances=instances,
             n_servers=servers,
             jobs_per_s=jobs_per_s,
+            cell_servers=cell_servers,
         )
         try:
             report = asyncio.run(_run_to_end(run))
--- a/buckthornshift/proving/soak/_instances.py
+++ b/buckthornshift/proving/soak/_instances.py
@@ -68,12 +68,14 @@
     :param n_instances: how many.
     :param folder: folder for settings and logs.
     :param store: ``host:port`` of the store.
+    :param cell_servers: most servers of one owner.
     """
 
-    def __init__(self, n_instances=3, folder="", store=""):
+    def __init__(self, n_instances=3, folder="", store="", cell_servers=256):
         self.n_instances = n_instances
         self.folder = folder
         self.store = store
+        self.cell_servers = cell_servers
         self.by_name = {}
         self._watchers = set()
         self._is_closing = False
@@ -162,6 +164,7 @@
             "metrics": metrics,
             "store": self.store,
             "seeds": addresses,
+            "dispatch": {"cell_servers": self.cell_servers},
         }
         settings_path = os.path.join(self.folder, f"{name}.jsonc")
         with open(settings_path, "w", encoding="utf-8") as file:
--- a/buckthornshift/proving/soak/_soak.py
+++ b/buckthornshift/proving/soak/_soak.py
@@ -34,6 +34,7 @@
     :param n_instances: dispatching instances.
     :param n_servers: backend servers.
     :param jobs_per_s: jobs submitted a second.
+    :param cell_servers: most servers of one owner.
     :param folder: folder for settings and logs; ``None`` for a new one.
     """
 
@@ -44,6 +45,7 @@
         n_instances=3,
         n_servers=6,
         jobs_per_s=15.0,
+        cell_servers=256,
         folder=None,
     ):
         self.seed = seed
@@ -51,6 +53,7 @@
         self.n_instances = n_instances
         self.n_servers = n_servers
         self.jobs_per_s = jobs_per_s
+        self.cell_servers = cell_servers
         self.folder = folder
 
     async def run(self):
@@ -96,6 +99,7 @@
             n_instances=self.n_instances,
             folder=folder,
             store=f"127.0.0.1:{self.store_proxy.bound_port}",
+            cell_servers=self.cell_servers,
         )
         await self.instances.start()
         self.customers = Customers(
--- a/tools/make_capacity_page.py
+++ b/tools/make_capacity_page.py
@@ -127,23 +127,16 @@
     return f"| {' | '.join(cells)} |"
 
 
-# What an owner may use for decisions, beside its calls and its own callers.
-OWNER_CORE_SHARE = 0.3
-
-
 def render_dispatch(data, slopes):
     """Return the part about dispatching instances on the platform."""
     rows = [
         make_row(
             f"{point['servers']} servers, {point['starts_per_s']:.0f} starts/s",
-            point["cells"],
             f"{point['owner_core']:.2%}",
-            f"{1e6 * render_cell_share(point):.0f} µs",
+            f"{1e6 * point['owner_core'] / point['starts_per_s']:.0f} µs",
         )
         for point in data["dispatch_starts"]
     ]
-    per_start_s = render_cell_share(data["dispatch_starts"][-1])
-    n_owners = STARTS_PER_S * per_start_s / OWNER_CORE_SHARE
     return f"""
 ## Dispatching instances on the platform
 
@@ -152,26 +145,21 @@
 servers used 1.8% of a core and 22.8 MB on a quiet day, of 41 with 175 servers 5.6% on
 average, 40% as owner, and 29.3 MB (one run each).
 
-| load | cells | processor of the core, an owner | for a start |
-|---|---|---|---|
+| owner, load | processor of the core | for a start |
+|---|---|---|
 {chr(10).join(rows)}
 
 {render_dispatch_growth(slopes)}
 
-What this says: one owner carries up to 256 servers; beyond, cells with an owner each
-keep the cost of a start level (docs/design/18-cells.md). {STARTS_PER_S:,} starts a second
-take the decisions of {n_owners:.0f} owners that fill {OWNER_CORE_SHARE:.0%} of a core with
-them, so `cell_servers` has to be {N_WORKERS / n_owners:.0f} there, not 256. Calls to servers
-come on top, and are more than the decisions: on the users' bench an owner of 175 servers
-uses 0.27 ms a start in all. The beats of all owners to all instances are above the
+What this says: one owner carries the servers of a region today (24 to 175). The choice
+of a server is a look through all of them, so the cost of a start grows with their
+number; at {STARTS_PER_S:,} starts a second the work has to be split. What would carry
+it, not built: cells of some tens of servers with an owner each, by the same claim and
+fence, jobs passed to the cell with room; and beats only between the members of a region
+and the owners, since the mesh of all instances is above the
 {CONTROL_KB_PER_S:.0f} KB/s allowed."""
 
 
-def render_cell_share(point):
-    """Return the processor seconds of an owner for one of its own starts."""
-    return point["owner_core"] * point["cells"] / point["starts_per_s"]
-
-
 def render_dispatch_growth(slopes):
     """Return the table of what grows with instances and servers."""
     peer_core = slopes["dispatch_peers", "other_core"]
