FIX A job at an owner that was replaced first and lost later finds another one

Cause, found by a unit test of divided cells: a home passes jobs on when the owner that it follows changes. If a larger claim took that place while the former owner still had the job, the loss of the former one was no change any more, and the job waited for its caller's deadline. Ruled out: a fault of the division; the same happens with one cell. After: the job goes to the heir at once, or once nothing of it can run if the cell was divided. Besides, a beat with an impossible number of cells divides by one.

--- a/buckthornshift/dispatch/_cells.py
+++ b/buckthornshift/dispatch/_cells.py
@@ -96,7 +96,7 @@
         :param beat: the :class:`Beat`; its sender may know another number of cells.
         :param server: the :class:`Server`.
         """
-        cell = server.hash % beat.n_cells
+        cell = server.hash % max(1, beat.n_cells)
         return any(claim.cell == cell for claim in beat.claims)
 
     def list_claims(self, cell):
@@ -268,11 +268,7 @@
     def _hand_over_surplus(self):
         owned = self.list_owned()
         now_ms = self.context.now_ms
-        is_free = any(
-            not peer.beat.claims and self._may_claim(peer)
-            for peer in self.membership.list_live()
-        )
-        if len(owned) < 2 or not is_free:
+        if len(owned) < 2 or not self._is_anyone_free():
             self._surplus_since_ms = None
         elif self._surplus_since_ms is None:
             self._surplus_since_ms = now_ms
@@ -280,6 +276,12 @@
             self._surplus_since_ms = None
             self.elections[owned[-1]].give_up()
 
+    def _is_anyone_free(self):
+        return any(
+            not peer.beat.claims and self._may_claim(peer)
+            for peer in self.membership.list_live()
+        )
+
     def _make_election(self, cell):
         return Election(
             context=self.context, membership=self.membership, cells=self, cell=cell
--- a/buckthornshift/dispatch/_homes.py
+++ b/buckthornshift/dispatch/_homes.py
@@ -12,6 +12,7 @@
     CallerDeadline,
     CellsChanged,
     OwnerChanged,
+    PeerLost,
     ResubmitDue,
     SubmissionEnded,
 )
@@ -88,6 +89,7 @@
             CallerDeadline: self.on_deadline,
             OwnerChanged: self.on_owner_changed,
             CellsChanged: self.on_owner_changed,
+            PeerLost: self.on_peer_lost,
             ResubmitDue: self.on_resubmit_due,
             PeerLinkOpened: self.on_link_opened,
             PeerReceived: self.on_received,
@@ -148,6 +150,12 @@
         for home_job in list(self.by_key.values()):
             self._route(home_job)
 
+    def on_peer_lost(self, message):
+        """Pass on what an instance had that is lost, owner by then or not."""
+        for home_job in list(self.by_key.values()):
+            if home_job.owner is not None and home_job.owner[0] == message.address:
+                self._route(home_job)
+
     def on_resubmit_due(self, message):
         """Pass on a job of which nothing can run any more."""
         home_job = self.by_key.get(message.key)
--- a/tests/dispatch/test_homes.py
+++ b/tests/dispatch/test_homes.py
@@ -29,6 +29,7 @@
 )
 
 OWNER = "o:1"
+HEIR = "p:1"
 QUEUE = Queue(name="q", service="s", stretch=2.0, target_ms=60.0)
 WALL_MS = 1.8e12
 
@@ -52,23 +53,27 @@
     def feed(self, event):
         self.actions += self.core.handle(event, self.now_ms, WALL_MS + self.now_ms)
 
-    def hear(self, message):
-        self.feed(PeerReceived(address=OWNER, incarnation=2, message=message))
+    def hear(self, message, address=OWNER):
+        self.feed(PeerReceived(address=address, incarnation=2, message=message))
 
-    def pass_time(self, ms):
-        """Let time pass; the owner beats all along."""
+    def pass_time(self, ms, address=OWNER, n_cells=1, n_owned=1):
+        """Let time pass; an owner of all cells beats all along."""
+        claims = tuple(
+            CellClaim(cell=cell, term=5, n_owned=n_owned, is_complete=True)
+            for cell in range(n_cells)
+        )
         end_ms = self.now_ms + ms
         while self.now_ms < end_ms:
             self.now_ms += 50.0
             self.feed(TimeAdvanced())
-            self.hear(
-                Beat(
-                    sent_ms=self.now_ms,
-                    echo_ms=self.now_ms,
-                    claims=(CellClaim(term=5, n_owned=1, is_complete=True),),
-                    lag_ms=self.lag_ms,
-                )
+            beat = Beat(
+                sent_ms=self.now_ms,
+                echo_ms=self.now_ms,
+                n_cells=n_cells,
+                claims=claims,
+                lag_ms=self.lag_ms,
             )
+            self.hear(beat, address)
 
     def submit(self):
         step = StepSpec(n_tasks=1, need=Resources(cpu=1), estimate_ms=50.0)
@@ -146,3 +151,35 @@
     assert answer.retry_after_ms >= home.lag_ms
     lines = [a for a in home.pop(LogLine) if a.code is LogCode.JOB_REFUSED]
     assert "500 ms" in lines[-1].fields["detail"]
+
+
+def test_an_heir_of_the_whole_cell_gets_a_lost_owner_s_job_at_once(home):
+    """It sees on its servers what runs of the job."""
+    home.submit()
+    home.pop_submissions()
+    home.pass_time(800.0, address=HEIR)
+    (second,) = home.pop_submissions()
+    assert second.is_resent
+
+
+def test_one_that_is_lost_after_another_took_its_place_loses_its_jobs(home):
+    """They waited for their callers' deadlines: nobody had them any more."""
+    home.submit()
+    home.pop_submissions()
+    home.pass_time(200.0, address=HEIR, n_owned=2)
+    assert home.pop_submissions() == []
+    home.pass_time(600.0, address=HEIR, n_owned=2)
+    (second,) = home.pop_submissions()
+    assert second.is_resent
+
+
+def test_an_heir_of_a_divided_cell_gets_it_once_nothing_can_run(home):
+    """What runs of the job may be on a server of the other cell."""
+    home.submit()
+    home.pop_submissions()
+    home.pass_time(1_400.0, address=HEIR, n_cells=2)
+    assert home.pop_submissions() == []
+    home.pass_time(300.0, address=HEIR, n_cells=2)
+    (second,) = home.pop_submissions()
+    assert second.is_resent
+    assert second.n_cells == 2
