FIX A full cell names the other one as long as the first try may run

Cause, found by reading the change again: the cell that a job was passed to was remembered for 3 s, the time for which outcomes are kept. A caller may wait longer; its repeat was then taken here, beside the first try there. Before: the new test finds the repeat taken after 3.5 s. After: it is passed to the same cell. Tests of dispatch and docs pass (81).

--- a/buckthornshift/dispatch/_owner_jobs.py
+++ b/buckthornshift/dispatch/_owner_jobs.py
@@ -116,10 +116,9 @@
             if self._ended_by_waiter[waiter][0] > oldest_ms:
                 break
             del self._ended_by_waiter[waiter]
-        for job_id in list(self._other_cell_by_id):
-            if self._other_cell_by_id[job_id][0] > oldest_ms:
-                break
-            del self._other_cell_by_id[job_id]
+        for job_id, (until_ms, _) in list(self._other_cell_by_id.items()):
+            if until_ms < self.context.now_ms:
+                del self._other_cell_by_id[job_id]
 
     def complete(self, job):
         """End a job whose tasks are all done."""
@@ -220,7 +219,9 @@
         )
 
     def _pass_on(self, job, waiter, cell):
-        self._other_cell_by_id[job.job_id] = (self.context.now_ms, cell)
+        until_ms, _ = self._other_cell_by_id.get(job.job_id, (0.0, cell))
+        until_ms = max(until_ms, job.deadline_ms)
+        self._other_cell_by_id[job.job_id] = (until_ms, cell)
         self.context.log(
             LogCode.JOB_PASSED_ON, job.job_id, from_cell=job.cell, to_cell=cell
         )
--- a/tests/dispatch/test_cells.py
+++ b/tests/dispatch/test_cells.py
@@ -30,6 +30,7 @@
 QUEUE = Queue(name="q", service="s", max_attempts=3, stretch=2.0, target_ms=60.0)
 NEED = Resources(cpu=1_000)
 OTHER = "p:1"
+LEFT_MS = 4_000.0
 SETTINGS = DispatchSettings(cell_servers=4, grow_after_ms=1_000.0)
 
 
@@ -96,10 +97,10 @@
     def submit(self, job, key=1, **fields):
         """Let the other instance pass a job on; return what it is told."""
         fields = {"cell": self.cell, "n_cells": 2, **fields}
-        message = SubmitJob(key=key, job=job, queue=QUEUE, left_ms=2_000.0, **fields)
+        message = SubmitJob(key=key, job=job, queue=QUEUE, left_ms=LEFT_MS, **fields)
         self.hear(message)
         sent = [a.message for a in self.pop(SendPeer)]
-        return [m for m in sent if isinstance(m, JobEnded)]
+        return [m for m in sent if isinstance(m, JobEnded) and m.key == key]
 
 
 def test_a_long_list_is_divided_and_each_cell_owned_by_one():
@@ -198,6 +199,15 @@
     assert ended.cell == 1 - owner.cell
 
 
+def test_a_repeat_is_told_the_same_cell_as_long_as_the_first_try_may_run():
+    """The callers of the longest jobs wait longer than outcomes are remembered."""
+    owner = FullOwner()
+    job, _ = owner.submit_next()
+    owner.pass_time(SETTINGS.ended_kept_ms + 500.0)
+    (ended,) = owner.submit(job, key=999)
+    assert ended.reason is EndReason.CELL_FULL
+
+
 def test_a_job_that_another_cell_had_no_room_for_is_refused():
     owner = FullOwner()
     job = next(owner.find_jobs(1 - owner.cell))
