--- a/buckthornshift/dispatch/_cells.py
+++ b/buckthornshift/dispatch/_cells.py
@@ -165,7 +165,8 @@
         Those with the fewest cells come first, then by rank; the cells without an
         owner are dealt out in that order.
         """
-        own_load, own_rank = len(self.list_owned()), self._own_rank()
+        own_load = len(self.list_owned())
+        own_rank = self.context.identity.rank
         n_rivals = n_before = 0
         for peer in self.membership.list_live():
             if not self._may_claim(peer):
@@ -302,10 +303,6 @@
     def _measure_room(self, cell):
         return self.fleet.count_free_cpu(cell) - self.count_waiting_cpu(cell)
 
-    def _own_rank(self):
-        identity = self.context.identity
-        return (identity.power, identity.born_ms, identity.incarnation)
-
     def _may_claim(self, peer):
         """Return whether another instance could claim servers now."""
         beat = peer.beat
--- a/buckthornshift/dispatch/_membership.py
+++ b/buckthornshift/dispatch/_membership.py
@@ -69,11 +69,7 @@
 
     @property
     def rank(self):
-        """Order in which instances are preferred as owner.
-
-        Among equals the youngest comes first: in a series of restarts it is the
-        least likely to be next.
-        """
+        """Like :attr:`DispatchIdentity.rank`."""
         return (self.beat.power, self.beat.born_ms, self.incarnation)
 
 
@@ -274,8 +270,7 @@
             return None
         identity = self.context.identity
         ranks = [(peer.rank, peer.address) for peer in live]
-        own_rank = (identity.power, identity.born_ms, identity.incarnation)
-        ranks.append((own_rank, identity.address))
+        ranks.append((identity.rank, identity.address))
         return {
             address
             for _, address in heapq.nlargest(self.context.settings.n_hubs, ranks)
--- a/buckthornshift/dispatch/_settings.py
+++ b/buckthornshift/dispatch/_settings.py
@@ -22,6 +22,15 @@
     born_ms: int = 0
     power: float = 1.0
 
+    @property
+    def rank(self):
+        """Order in which instances are preferred as owner.
+
+        Among equals the youngest comes first: in a series of restarts it is the
+        least likely to be next.
+        """
+        return (self.power, self.born_ms, self.incarnation)
+
 
 @attrs.frozen(kw_only=True)
 class DispatchSettings:
