FIX A connection that is opened for a server forgotten meanwhile is closed

Found by reading: closing the pool closed its idle connections, but one that was being opened ahead joined them afterwards and stayed. Before: the new test finds it open. After: closed. Tests of serving pass (48).

--- a/buckthornshift/serving/_http_client.py
+++ b/buckthornshift/serving/_http_client.py
@@ -67,7 +67,11 @@
         """
         while len(self._idle) < n_open and not self._is_closed:
             async with self._slots:
-                self._idle.append(await self._connect())
+                connection = await self._connect()
+            if self._is_closed:
+                connection.abort()
+                return
+            self._idle.append(connection)
 
     def close(self):
         """Close the idle connections, and open none ahead any more."""
--- a/tests/serving/test_http_client.py
+++ b/tests/serving/test_http_client.py
@@ -97,14 +97,18 @@
 class NotedConnection(asyncio.Protocol):
     """One that answers whatever comes."""
 
-    def __init__(self, accepted):
+    def __init__(self, accepted, lost=None):
         self.accepted = accepted
+        self.lost = [] if lost is None else lost
         self.transport = None
 
     def connection_made(self, transport):
         self.accepted.append(self)
         self.transport = transport
 
+    def connection_lost(self, error):
+        self.lost.append(self)
+
     def data_received(self, data):
         self.transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
 
@@ -117,6 +121,26 @@
     assert count_connections(n_warm=2, is_closed=True) == 0
 
 
+def test_a_pool_that_is_closed_meanwhile_keeps_no_connection():
+    """The server was forgotten while a connection to it was being opened."""
+
+    async def run():
+        lost = []
+        listener = await asyncio.get_running_loop().create_server(
+            lambda: NotedConnection([], lost), "127.0.0.1", 0
+        )
+        pool = HttpPool(port=listener.sockets[0].getsockname()[1])
+        warming = asyncio.ensure_future(pool.warm(1))
+        await asyncio.sleep(0)
+        pool.close()
+        await warming
+        await asyncio.sleep(0.05)
+        listener.close()
+        return len(lost)
+
+    assert asyncio.run(run()) == 1
+
+
 def test_connections_cannot_be_opened_ahead_to_a_closed_port():
     with pytest.raises(NotSentError):
         asyncio.run(HttpPool(port=1).warm(1))
