--- a/buckthornshift/dispatch/_context.py
+++ b/buckthornshift/dispatch/_context.py
@@ -21,6 +21,7 @@
     :param n_starts: start commands sent.
     :param n_rejected: start commands that a server rejected.
     :param n_unanswered: start commands without a response in time.
+    :param n_runs_lost: runs that were lost with their server.
     :param n_stops: stop commands sent.
     :param n_holds: lease renewals sent.
     :param n_adopted: runs of a former owner that were assigned to their resent job.
@@ -35,6 +36,7 @@
     n_starts: int = 0
     n_rejected: int = 0
     n_unanswered: int = 0
+    n_runs_lost: int = 0
     n_stops: int = 0
     n_holds: int = 0
     n_adopted: int = 0
--- a/buckthornshift/dispatch/_leases.py
+++ b/buckthornshift/dispatch/_leases.py
@@ -2,7 +2,7 @@
 
 from ._actions import DisconnectServer, LogCode, RenewLease
 from ._election import TOKEN_RANDOM_BITS, make_token
-from ._events import EndKind, RenewalAnswered, Verdict
+from ._events import RenewalAnswered, Verdict
 from ._fleet import Ownership
 from ._internal_messages import (
     AdoptionTimeout,
@@ -419,7 +419,7 @@
             context.post(ServersChanged())
         is_lapsed = context.now_ms > server.lease_expiry_ms
         if not server.is_reachable and is_lapsed and not server.is_idle:
-            self.runs.drop_all(server, EndKind.LAPSED)
+            self.runs.lose_all(server, "leases_expired")
         if server.ownership is Ownership.CLAIMING and not server.is_reachable:
             server.ownership = Ownership.NONE
         delay_ms = 0.0 if server.is_reachable else settings.retry_ms
@@ -431,12 +431,12 @@
         server.ownership = ownership
         server.renewal_sent_ms = server.poll_sent_ms = None
         server.token = 0
-        self.runs.drop_all(server, None)
+        self.runs.leave_to_next_owner(server)
 
     def _drop_replaced(self, server):
         server.ownership = Ownership.NONE
         server.unlisted_since_ms = self.context.now_ms - UNLISTED_RETENTION_MS
-        self.runs.drop_all(server, EndKind.LAPSED)
+        self.runs.lose_all(server, "server_replaced")
         self._remove_if_gone(server)
 
     def _remove_if_gone(self, server):
--- a/buckthornshift/dispatch/_runs.py
+++ b/buckthornshift/dispatch/_runs.py
@@ -290,24 +290,37 @@
             return
         self._handle_end(server, run, ended.kind)
 
-    def drop_all(self, server, kind):
-        """Stop tracking the runs of a server.
+    def lose_all(self, server, cause):
+        """Count the runs of a server that crashed, or can't be reached, as ended.
 
-        :param server: the server.
-        :param kind: the :class:`EndKind` to record for each run; ``None`` if the
-            next owner of the server decides about them.
+        :param server: the server, whose leases have expired if it may still run.
+        :param cause: what shows that its runs have ended, for the log.
         """
+        context = self.context
+        runs = list(server.run_by_name.values())
+        for run in runs:
+            context.counters.n_runs_lost += 1
+            context.log(
+                LogCode.RUN_LOST,
+                run.name,
+                server=server.id,
+                run=run.number,
+                cause=cause,
+                silent_ms=round(context.now_ms - server.last_response_ms),
+                lost_with=[other.name for other in runs if other is not run],
+            )
+            self._close_run(server, run)
+            if run.task is not None:
+                self._requeue_task(run)
+
+    def leave_to_next_owner(self, server):
+        """Stop tracking the runs of a server that another instance may own now."""
         for run in list(server.run_by_name.values()):
             self._close_run(server, run)
-            if kind is None:
-                self._lost_server_id_by_name[run.name] = server.id
-            if run.task is None:
-                continue
-            if kind is None:
+            self._lost_server_id_by_name[run.name] = server.id
+            if run.task is not None:
                 run.task.job.set_phase(run.task, TaskPhase.WAITING)
                 self.jobs.return_job(run.task.job)
-            else:
-                self._handle_end(server, run, kind)
 
     def clear_lost(self, server_id):
         """Forget the runs that were lost with a server.
