TST Tasks that crash their servers as a fault of the fleet simulation; failing test

TASKS_CRASH_SERVERS submits jobs with a task that crashes each server that starts it; the server refuses connections and a new one starts after 3 s. The oracle's rule budget: a task under which three servers have crashed is started at most twice more.

Regression seeds draw from the kinds of fault that they were found with, as they did for LINK_FULL.

--- a/buckthornshift/proving/fleet/_callers.py
+++ b/buckthornshift/proving/fleet/_callers.py
@@ -13,6 +13,7 @@
 )
 
 RESUBMIT_DELAY_MS = 1_300.0
+CRASHING_JOB_TIMEOUT_MS = 9_000.0
 POISON_PROBABILITY = 0.01
 # A fault lasts up to 4 s, and a job submitted before its end takes up to another 4 s.
 FINAL_BATCH_DELAY_MS = 8_000.0
@@ -68,12 +69,15 @@
         self.world = world
         self.disconnect_probability = 0.0
         self.rate_factor = 1.0
+        self.crash_probability = 0.0
+        self._crashing_tasks = set()
         self._next_ref = 0
         self._n_jobs = 0
         self._run_by_task = {}
         world.on_answer = self._on_answer
         world.on_lost_request = self._on_lost_request
         world.plan_run = self._plan_run
+        world.crashes_server = self._crashing_tasks.__contains__
 
     def start(self):
         """Schedule the jobs of the busy time and a final batch after the faults."""
@@ -110,6 +114,10 @@
         timeout_ms = (
             FINAL_BATCH_TIMEOUT_MS if is_final_batch else 300.0 + 3.0 * chain_ms
         )
+        if self.crash_probability and random_state.random() < self.crash_probability:
+            self._crashing_tasks.add(job.make_task_name(0, 0))
+            # Time for many servers, as callers of long jobs wait.
+            timeout_ms = CRASHING_JOB_TIMEOUT_MS
         self._submit(job, queue, timeout_ms, is_final_batch, 1)
 
     def _draw_steps(self, kind, mean_ms):
--- a/buckthornshift/proving/fleet/_faults.py
+++ b/buckthornshift/proving/fleet/_faults.py
@@ -10,6 +10,7 @@
 LAPSE_PROBABILITY = 0.4
 MAX_LAPSE_MS = 2_000.0
 DISCONNECT_PROBABILITY = 0.4
+CRASH_PROBABILITY = 0.1
 CLOCK_STEP_MS = 3_000.0
 # Faults that keep an instance from running, or from reading the store, for a while.
 INSTANCE_OUTAGES = (
@@ -124,6 +125,9 @@
             case FleetFault.BURST:
                 self.callers.rate_factor = BURST_FACTOR
                 self._schedule_end(fault, setattr, self.callers, "rate_factor", 1.0)
+            case FleetFault.TASKS_CRASH_SERVERS:
+                self.callers.crash_probability = CRASH_PROBABILITY
+                self._schedule_end(fault, setattr, self.callers, "crash_probability", 0)
             case FleetFault.CONFIG_CHANGE:
                 world.change_configuration()
             case FleetFault.CLOCK_STEP:
--- a/buckthornshift/proving/fleet/_machines.py
+++ b/buckthornshift/proving/fleet/_machines.py
@@ -55,6 +55,7 @@
     :param index: selects its service and kind.
     :param record: its entry in the store.
     :param is_listed: whether the store lists the entry.
+    :param refuses_connections: whether its machine runs on without the process.
     :param waiting_renewals: long-polling lease renewals that wait until a run ends.
     :param wake_up_ms: when the next run ends; ``None`` if nothing is scheduled.
     """
@@ -65,5 +66,6 @@
     index: int = 0
     record: ServerRecord = ServerRecord()
     is_listed: bool = True
+    refuses_connections: bool = False
     waiting_renewals: list = attrs.field(factory=list)
     wake_up_ms: float | None = None
--- a/buckthornshift/proving/fleet/_network.py
+++ b/buckthornshift/proving/fleet/_network.py
@@ -174,7 +174,11 @@
 
     def _deliver_command(self, instance, key, server, command, is_lost):
         world = self.world
-        if server.model is None or not self.can_reach(instance, server):
+        is_reachable = self.can_reach(instance, server)
+        if server.refuses_connections and is_reachable:
+            self._schedule_result(instance, command, Verdict.NOT_SENT, 1.0, key)
+            return
+        if server.model is None or not is_reachable:
             self._schedule_result(instance, command, Verdict.NO_ANSWER, 250.0, key)
             return
         response = self._execute_command(server, command)
--- a/buckthornshift/proving/fleet/_oracle.py
+++ b/buckthornshift/proving/fleet/_oracle.py
@@ -8,12 +8,16 @@
 from ...dispatch import EndKind, Outcome
 
 DRAIN_NOTICE_MS = 2_000.0
+# After so many crashes, so many more starts of a task violate the budget.
+MAX_CRASHES = 3
+MAX_STARTS_AFTER_CRASHES = 3
 OUTAGE_RECOVERY_MS = 3_000.0
 
 
 class FleetRule(enum.StrEnum):
     """Invariants that the oracle checks.
 
+    - ``BUDGET``: a task that crashes its servers is soon given up.
     - ``CAPACITY``: the tasks on a server never need more than it has.
     - ``ONE_RUN``: a task never runs on two servers at the same time.
     - ``DRAINING``: no task starts on a server that has been draining for long.
@@ -29,6 +33,7 @@
     - ``RECOVERED``: every job that is submitted after the faults is served.
     """
 
+    BUDGET = "budget"
     CAPACITY = "capacity"
     ONE_RUN = "one_run"
     DRAINING = "draining"
@@ -66,6 +71,8 @@
     :param answers: outcomes that callers received; ``None`` for a lost connection.
     :param has_started: whether a server has started a task of the job.
     :param n_failures_by_task: number of failed runs by task name.
+    :param n_crashes_by_task: servers that crashed under a run, by task name.
+    :param n_starts_by_task: starts after too many crashes, by task name.
     :param completed_tasks: names of the tasks that have completed.
     :param is_final_batch: whether it was submitted after the last fault.
     """
@@ -76,6 +83,8 @@
     answers: list = attrs.field(factory=list)
     has_started: bool = False
     n_failures_by_task: dict = attrs.field(factory=dict)
+    n_crashes_by_task: dict = attrs.field(factory=dict)
+    n_starts_by_task: dict = attrs.field(factory=dict)
     completed_tasks: set = attrs.field(factory=set)
     is_final_batch: bool = False
 
@@ -160,9 +169,16 @@
             detail = f"{run.task} starts on {server.server_id}, runs on {other}"
             self._raise_violation(FleetRule.ONE_RUN, detail)
         self._server_by_task[run.task] = server.server_id
+        self._check_budget(run, observed)
         self._check_capacity(server, run, observed)
         self._check_placement(server, run, observed)
 
+    def record_crash(self, server):
+        """Record that a server crashes under the tasks that run on it."""
+        for task in server.run_by_task:
+            crashes = self.jobs_by_id[task.partition(".")[0]].n_crashes_by_task
+            crashes[task] = crashes.get(task, 0) + 1
+
     def on_run_ended(self, server, run, kind):
         """Record how a run ended.
 
@@ -247,6 +263,16 @@
         if action.reason == "attempts_used_up" and not self._is_poisoned(observed):
             self._raise_violation(FleetRule.FAILED_HAS_CAUSE, observed.spec.job_id)
 
+    def _check_budget(self, run, observed):
+        if observed.n_crashes_by_task.get(run.task, 0) < MAX_CRASHES:
+            return
+        n_starts = observed.n_starts_by_task.get(run.task, 0) + 1
+        observed.n_starts_by_task[run.task] = n_starts
+        if n_starts >= MAX_STARTS_AFTER_CRASHES:
+            n_crashes = observed.n_crashes_by_task[run.task]
+            detail = f"{run.task} starts again after {n_crashes} crashes"
+            self._raise_violation(FleetRule.BUDGET, detail)
+
     def _check_capacity(self, server, run, observed):
         used_cpu = self._get_need(run.task).cpu
         used_mb = self._get_need(run.task).memory_mb
--- a/buckthornshift/proving/fleet/_plan.py
+++ b/buckthornshift/proving/fleet/_plan.py
@@ -24,7 +24,8 @@
     - ``COMMANDS_LATE`` delays commands to servers beyond their timeout;
       ``RESPONSES_LOST`` drops the responses to them.
     - ``CALLERS_DISCONNECT`` makes callers disconnect early; ``BURST`` raises the rate
-      of jobs.
+      of jobs. ``TASKS_CRASH_SERVERS`` makes some jobs contain a task that crashes
+      every server that starts it.
     - ``CONFIG_CHANGE`` publishes a configuration; ``CLOCK_STEP`` sets the wall clock
       of an instance back.
     """
@@ -56,6 +57,7 @@
     RESPONSES_LOST = "answers_lost"
     CALLERS_DISCONNECT = "callers_leave"
     BURST = "burst"
+    TASKS_CRASH_SERVERS = "tasks_crash_servers"
     CONFIG_CHANGE = "config_change"
     CLOCK_STEP = "clock_step"
 
--- a/buckthornshift/proving/fleet/_world.py
+++ b/buckthornshift/proving/fleet/_world.py
@@ -37,14 +37,17 @@
 STORE_DELAY_MS = 4.0
 RESTART_DELAY_MS = 400.0
 DRAIN_DURATION_MS = 3_000.0
+# Time from the start of a task that crashes its server to the crash.
+TASK_CRASH_DELAY_MS = 20.0
+CRASHED_SERVER_RESTART_MS = 3_000.0
 
 
 class FleetWorld:
     """Simulate one run: the instances, the backend servers and the store.
 
-    Callers set the callbacks ``on_answer``, ``on_lost_request`` and ``plan_run``
-    before :meth:`start`. Everything random comes from the seed of the plan, so that
-    a run can be repeated exactly.
+    Callers set the callbacks ``on_answer``, ``on_lost_request``, ``plan_run`` and
+    ``crashes_server`` before :meth:`start`. Everything random comes from the seed of
+    the plan, so that a run can be repeated exactly.
 
     :param plan: the :class:`FleetPlan`.
     :param settings: the :class:`~buckthornshift.dispatch.DispatchSettings` of every
@@ -73,6 +76,7 @@
         self.on_lost_request = None
         self.on_log = None
         self.plan_run = None
+        self.crashes_server = None
 
     def start(self):
         """Start every server and instance."""
@@ -106,7 +110,7 @@
             speed=kind.speed,
             clock_rate=self.random_state.choice((1.0, 0.99, 0.98)),
             clock_start_ms=self.random_state.uniform(0.0, 1e6),
-            plan_run=lambda task: self.plan_run(task),
+            plan_run=lambda task: self._plan_run(name, task),
             observer=self.observer,
         )
         server = SimulatedServer(
@@ -125,6 +129,20 @@
         self.network.respond_to_waiting_renewals(server)
         self.clock.schedule(3_000.0, self._deregister, server)
 
+    def crash_server(self, server):
+        """Crash the process of a server; a new one starts some seconds later.
+
+        Until then its machine refuses connections.
+        """
+        if server.model is None:
+            return
+        self.oracle.record_crash(server.model)
+        self.kill_server(server)
+        server.refuses_connections = True
+        self.clock.schedule(
+            CRASHED_SERVER_RESTART_MS, self.add_server, server.zone, server.index
+        )
+
     def drain_server(self, server):
         """Mark a server as draining; it exits after ``DRAIN_DURATION_MS``."""
         if server.model is None or server.record.is_draining:
@@ -255,6 +273,12 @@
         delay_ms = due_ms - self.clock.now_ms
         self.clock.schedule(delay_ms, self._advance_server, server, due_ms)
 
+    def _plan_run(self, server_id, task):
+        if self.crashes_server is not None and self.crashes_server(task):
+            server = self.servers_by_id[server_id]
+            self.clock.schedule(TASK_CRASH_DELAY_MS, self.crash_server, server)
+        return self.plan_run(task)
+
     def _advance_server(self, server, due_ms):
         if server.wake_up_ms != due_ms:
             return
--- a/tests/proving/fleet/test_cells_runs.py
+++ b/tests/proving/fleet/test_cells_runs.py
@@ -5,7 +5,8 @@
 from buckthornshift.proving.fleet import FleetFault, run_cells_seed
 
 # The kinds that the regression seeds draw their faults from.
-KINDS_WITHOUT_FULL_LINKS = [k for k in FleetFault if k is not FleetFault.LINK_FULL]
+NEWER_KINDS = (FleetFault.LINK_FULL, FleetFault.TASKS_CRASH_SERVERS)
+FORMER_KINDS = [kind for kind in FleetFault if kind not in NEWER_KINDS]
 # Regression seeds, each with the fault that it revealed.
 REGRESSION_SEEDS = {
     3: "a job was refused because its cell had no server, though other cells had",
@@ -25,5 +26,5 @@
 
 @pytest.mark.parametrize("seed", REGRESSION_SEEDS)
 def test_regression_seed(seed):
-    result = run_cells_seed(seed, kinds=KINDS_WITHOUT_FULL_LINKS)
+    result = run_cells_seed(seed, kinds=FORMER_KINDS)
     assert result.violation is None, result.detail
--- a/tests/proving/fleet/test_fleet_mutations.py
+++ b/tests/proving/fleet/test_fleet_mutations.py
@@ -196,7 +196,15 @@
     monkeypatch.setattr(RunTracker, "is_open", lambda self, name: False)
 
 
+def forget_lost_runs(monkeypatch):
+    """Start a task again however many servers have crashed under it."""
+    monkeypatch.setattr(
+        RunTracker, "_record_losses", lambda self, server, runs: None, raising=False
+    )
+
+
 MUTATIONS = [
+    (forget_lost_runs, FleetRule.BUDGET, [FleetFault.TASKS_CRASH_SERVERS]),
     (ignore_capacity, FleetRule.CAPACITY, [FleetFault.BURST]),
     (
         free_capacity_on_stop_request,
--- a/tests/proving/fleet/test_fleet_seeds.py
+++ b/tests/proving/fleet/test_fleet_seeds.py
@@ -16,10 +16,11 @@
 from buckthornshift.proving.fleet._plan import draw_fleet_plan
 
 # The kinds that the older regression seeds draw their faults from.
-KINDS_WITHOUT_FULL_LINKS = [k for k in FleetFault if k is not FleetFault.LINK_FULL]
+NEWER_KINDS = (FleetFault.LINK_FULL, FleetFault.TASKS_CRASH_SERVERS)
+FORMER_KINDS = [kind for kind in FleetFault if kind not in NEWER_KINDS]
 
 
-def run_former_seed(seed, kinds=KINDS_WITHOUT_FULL_LINKS, n_faults=None):
+def run_former_seed(seed, kinds=FORMER_KINDS, n_faults=None):
     """Run a seed as it was drawn before instances read the list of all others."""
     plan = draw_fleet_plan(random.Random(seed), seed, kinds, n_faults)
     return run_fleet_plan(attrs.evolve(plan, lists_instances=False))
