FIX A task that crashes its servers is given up, and runs alone after the first crash

Cause: a run that was lost with its server counted as an expired lease, a fault of the machine, and nothing counted how often that happened to one task.

Change: CrashHistory keeps which tasks ran on each lost server and shares that with the other instances, so that it outlives an owner and a resubmission. After two such losses the job fails (200 failed, which is final) and so does a resubmission. After one the task runs alone, on an idle server, after all other tasks: a crash then takes no other task along and shows the cause. Losses with a common cause (a quarter of the servers within 250 ms) don't count before the fourth; a server that responds again did not crash.

An answer out of attempts may also rest on start commands that never reached a server: from outside the owner can't tell those from a crash (test_work_of_a_silent_server_or_instance_does_not_run_twice[1000.0] found an instance that was cut off and blamed the servers that it could not reach; such reports are now ignored).

--- a/buckthornshift/dispatch/_core.py
+++ b/buckthornshift/dispatch/_core.py
@@ -6,6 +6,7 @@
 from ._admission import AdmissionController
 from ._cells import Cells
 from ._context import DispatchContext
+from ._crash_history import CrashHistory
 from ._declarations import Configuration
 from ._duration_estimator import DurationEstimator
 from ._events import (
@@ -153,7 +154,18 @@
             admission=self.admission,
             duration_estimator=self.duration_estimator,
         )
-        self.runs = RunTracker(context=context, fleet=self.fleet, jobs=self.jobs)
+        self.crash_history = CrashHistory(
+            context=context,
+            fleet=self.fleet,
+            membership=self.membership,
+            cells=self.cells,
+        )
+        self.runs = RunTracker(
+            context=context,
+            fleet=self.fleet,
+            jobs=self.jobs,
+            crash_history=self.crash_history,
+        )
         self.list_publisher = ListPublisher(
             context=context,
             fleet=self.fleet,
@@ -202,6 +214,7 @@
             self.list_follower,
             self.lease_manager,
             self.list_publisher,
+            self.crash_history,
             self.runs,
             self.jobs,
             self.load_shedder,
--- /dev/null
+++ b/buckthornshift/dispatch/_crash_history.py
@@ -0,0 +1,182 @@
+"""Servers that were lost under running tasks, which reveal tasks that crash them."""
+
+import attrs
+
+from ._actions import SendToPeer
+from ._events import PeerConnected, PeerMessageReceived
+from ._internal_messages import HousekeepingDue
+from ._peer_messages import ServerLoss
+
+# Lost servers after which a task is given up.
+MAX_CRASHES = 2
+# The same for all its lost servers, also those that failed together with others.
+MAX_LOSSES = 4
+# Servers that stop responding within this time may have failed together: an idle
+# renewal waits that long at a server.
+COMMON_FAILURE_WINDOW_MS = 250.0
+# Number and share of all servers that must fail together for a common cause.
+MIN_COMMON_FAILURES = 4
+MIN_COMMON_FAILURE_SHARE = 0.25
+RETENTION_MS = 60_000.0
+
+
+@attrs.define(kw_only=True)
+class _Loss:
+    """Loss of a server, with the names of the tasks that may have caused it."""
+
+    server_id: str = ""
+    silent_since_ms: float = 0.0
+    suspects: set = attrs.field(factory=set)
+
+
+class CrashHistory:
+    """Tell which tasks are suspected of crashing servers, and which are given up.
+
+    A loss is shared with the other instances, so that it counts for the next owner and
+    for a resubmission of the job as well. Servers that fail together have a common
+    cause, such as their rack, and count less.
+
+    :param context: the shared :class:`DispatchContext`.
+    :param fleet: the :class:`Fleet`.
+    :param membership: the :class:`Membership`.
+    :param cells: the :class:`Cells`.
+    """
+
+    def __init__(self, context=None, fleet=None, membership=None, cells=None):
+        self.context = context
+        self.fleet = fleet
+        self.membership = membership
+        self.cells = cells
+        self._loss_by_server_id = {}
+        self._server_ids_by_task = {}
+
+    def subscribe(self):
+        """Return handlers by message class."""
+        return {
+            PeerMessageReceived: self.on_received,
+            PeerConnected: self.on_peer_connected,
+            HousekeepingDue: self.on_housekeeping,
+        }
+
+    def on_received(self, event):
+        """Add a loss that another instance observed."""
+        match event.message:
+            case ServerLoss(server_id=server_id, tasks=tasks, age_ms=age_ms):
+                silent_since_ms = self.context.now_ms - age_ms
+                if not self._has_responded_since(server_id, silent_since_ms):
+                    self._add(server_id, tasks, silent_since_ms)
+
+    def on_peer_connected(self, event):
+        """Send the losses to an instance that may have missed them."""
+        if not self.cells.is_owner:
+            return
+        for loss in self._loss_by_server_id.values():
+            self._send(event.address, loss)
+
+    def on_housekeeping(self, message):
+        """Forget old losses."""
+        oldest_ms = self.context.now_ms - RETENTION_MS
+        for loss in list(self._loss_by_server_id.values()):
+            if loss.silent_since_ms < oldest_ms:
+                self.forget_server(loss.server_id)
+
+    def record(self, server, tasks):
+        """Record that a server was lost, and share that with the other instances.
+
+        :param server: the :class:`Server`.
+        :param tasks: names of the tasks that ran on it.
+        """
+        loss = self._add(server.id, tasks, server.last_response_ms)
+        if len(loss.suspects) == 1:
+            self._clear_other_suspects(*loss.suspects)
+        for peer in self.membership.list_live():
+            if self.membership.is_hub(peer.address):
+                self._send(peer.address, loss)
+
+    def forget_server(self, server_id):
+        """Forget the loss of a server, because it is old or the server responds."""
+        loss = self._loss_by_server_id.pop(server_id, None)
+        if loss is not None:
+            for task in loss.suspects:
+                self._remove(task, server_id)
+
+    def clear_task(self, task):
+        """Clear a task of all suspicion, because it has completed."""
+        for server_id in tuple(self._server_ids_by_task.get(task, ())):
+            self._loss_by_server_id[server_id].suspects.discard(task)
+            self._remove(task, server_id)
+
+    def is_suspect(self, task):
+        """Return whether a task may have crashed a server."""
+        return bool(self._server_ids_by_task) and self._count_crashes(task) > 0
+
+    def is_given_up(self, task):
+        """Return whether a task must not be started again."""
+        server_ids = self._server_ids_by_task.get(task, ())
+        if len(server_ids) < MAX_CRASHES:
+            return False
+        return len(server_ids) >= MAX_LOSSES or self._count_crashes(task) >= MAX_CRASHES
+
+    def list_lost_servers(self, task):
+        """Return the ids of the servers that were lost under a task."""
+        return sorted(self._server_ids_by_task.get(task, ()))
+
+    def _has_responded_since(self, server_id, time_ms):
+        """Return whether only the instance that reports a loss can't reach a server."""
+        server = self.fleet.by_id.get(server_id)
+        return server is not None and server.newest_response_sent_ms > time_ms
+
+    def _add(self, server_id, tasks, silent_since_ms):
+        loss = self._loss_by_server_id.setdefault(
+            server_id, _Loss(server_id=server_id, silent_since_ms=silent_since_ms)
+        )
+        loss.suspects.update(tasks)
+        for task in tasks:
+            self._server_ids_by_task.setdefault(task, set()).add(server_id)
+        return loss
+
+    def _remove(self, task, server_id):
+        server_ids = self._server_ids_by_task.get(task, set())
+        server_ids.discard(server_id)
+        if not server_ids:
+            self._server_ids_by_task.pop(task, None)
+
+    def _clear_other_suspects(self, task):
+        """Clear the tasks that were lost beside one that has crashed a server alone."""
+        if not self.is_given_up(task):
+            return
+        for server_id in self._server_ids_by_task[task]:
+            loss = self._loss_by_server_id[server_id]
+            for other in loss.suspects - {task}:
+                self._remove(other, server_id)
+            loss.suspects = {task}
+
+    def _count_crashes(self, task):
+        """Return how many servers were lost under a task without a common cause."""
+        return sum(
+            not self._is_common_failure(self._loss_by_server_id[server_id])
+            for server_id in self._server_ids_by_task.get(task, ())
+        )
+
+    def _is_common_failure(self, loss):
+        silent_since_ms_by_id = {
+            server.id: server.last_response_ms
+            for server in self.fleet.by_id.values()
+            if not server.is_reachable
+        }
+        for other in self._loss_by_server_id.values():
+            silent_since_ms_by_id[other.server_id] = other.silent_since_ms
+        n_together = sum(
+            abs(silent_since_ms - loss.silent_since_ms) <= COMMON_FAILURE_WINDOW_MS
+            for silent_since_ms in silent_since_ms_by_id.values()
+        )
+        min_share = MIN_COMMON_FAILURE_SHARE * len(self.fleet.by_id)
+        return n_together >= max(MIN_COMMON_FAILURES, min_share)
+
+    def _send(self, address, loss):
+        message = ServerLoss(
+            server_id=loss.server_id,
+            tasks=tuple(sorted(loss.suspects)),
+            age_ms=self.context.now_ms - loss.silent_since_ms,
+        )
+        self.context.emit(SendToPeer(address=address, message=message))
--- a/buckthornshift/dispatch/_fleet.py
+++ b/buckthornshift/dispatch/_fleet.py
@@ -44,6 +44,7 @@
     :param run_by_name: the :class:`Run` of each task, by name of the task.
     :param free: unreserved :class:`Resources`, not counting runs of unknown size.
     :param n_unsized_runs: runs of unknown size, found when the server was claimed.
+    :param n_isolated_runs: runs beside which no other may start.
     :param last_acked: number of the last finished run that was processed.
     :param last_acked_sent: the ``last_acked`` that the server was last sent.
     :param clock_offset_ms: the server's clock minus that of this instance, or ``None``.
@@ -70,6 +71,7 @@
     run_by_name: dict = attrs.field(factory=dict)
     free: Resources = Resources()
     n_unsized_runs: int = 0
+    n_isolated_runs: int = 0
     last_acked: int = 0
     last_acked_sent: int = 0
     clock_offset_ms: float | None = None
@@ -112,6 +114,7 @@
     def add_run(self, run):
         """Add a run and reserve its resources."""
         self.run_by_name[run.name] = run
+        self.n_isolated_runs += run.is_isolated
         if run.need is None:
             self.n_unsized_runs += 1
         else:
@@ -122,6 +125,7 @@
         if self.run_by_name.get(run.name) is not run:
             return
         del self.run_by_name[run.name]
+        self.n_isolated_runs -= run.is_isolated
         if run.need is None:
             self.n_unsized_runs -= 1
         else:
@@ -210,6 +214,7 @@
             and server.is_reachable
             and not server.record.is_draining
             and server.n_unsized_runs == 0
+            and server.n_isolated_runs == 0
             # A start would extend the lease of the run that is being stopped.
             and not server.has_unacked_stop
             and self._is_listed(server)
--- a/buckthornshift/dispatch/_jobs.py
+++ b/buckthornshift/dispatch/_jobs.py
@@ -69,6 +69,8 @@
     :param stop_acked_ms: when the server acknowledged a stop command, or ``None``; a
         later report that doesn't list the run proves that it is gone.
     :param is_found: whether a former owner started it.
+    :param is_isolated: whether nothing else may run on its server, because its task
+        may have crashed another one.
     """
 
     task: Task | None = None
@@ -82,6 +84,7 @@
     progress_changed_ms: float = 0.0
     stop_acked_ms: float | None = None
     is_found: bool = False
+    is_isolated: bool = False
 
 
 @attrs.frozen(kw_only=True)
--- a/buckthornshift/dispatch/_leases.py
+++ b/buckthornshift/dispatch/_leases.py
@@ -365,6 +365,7 @@
     def _record_response(self, server, clock_ms):
         context = self.context
         server.last_response_ms = context.now_ms
+        self.runs.crash_history.forget_server(server.id)
         server.is_reachable = True
         if clock_ms is not None:
             server.update_clock_offset(clock_ms, context.now_ms)
--- a/buckthornshift/dispatch/_peer_messages.py
+++ b/buckthornshift/dispatch/_peer_messages.py
@@ -233,6 +233,20 @@
     wire_name: ClassVar[str] = "LessonsShared"
 
 
+@attrs.frozen(kw_only=True)
+class ServerLoss:
+    """Loss of a server under running tasks, from its owner.
+
+    :param server_id: id of the server.
+    :param tasks: names of the tasks that may have crashed it.
+    :param age_ms: time since the server last responded.
+    """
+
+    server_id: str = ""
+    tasks: tuple[str, ...] = ()
+    age_ms: float = 0.0
+
+
 @attrs.frozen(kw_only=True)
 class ConfigurationUpdate:
     """Configuration of the sender, sent to an instance with an older version.
@@ -252,4 +266,5 @@
     ServerListUpdate,
     ServerHealthUpdate,
     ConfigurationUpdate,
+    ServerLoss,
 )
--- a/buckthornshift/dispatch/_runs.py
+++ b/buckthornshift/dispatch/_runs.py
@@ -36,12 +36,14 @@
     :param context: the shared :class:`DispatchContext`.
     :param fleet: the :class:`Fleet`.
     :param jobs: the :class:`OwnerJobs`.
+    :param crash_history: the :class:`CrashHistory`.
     """
 
-    def __init__(self, context=None, fleet=None, jobs=None):
+    def __init__(self, context=None, fleet=None, jobs=None, crash_history=None):
         self.context = context
         self.fleet = fleet
         self.jobs = jobs
+        self.crash_history = crash_history
         self.lease_manager = None
         self.start_timeout = AdaptiveTimeout(max_ms=context.settings.call_timeout_ms)
         self._open_runs_by_name = {}
@@ -101,6 +103,7 @@
             need=task.spec.need,
             sent_ms=context.now_ms,
             progress_changed_ms=context.now_ms,
+            is_isolated=self.crash_history.is_suspect(task.name),
         )
         self._open_run(server, run)
         task.job.n_runs_started += 1
@@ -312,6 +315,8 @@
             self._close_run(server, run)
             if run.task is not None:
                 self._requeue_task(run)
+        if not server.record.is_draining:
+            self._record_losses(server, runs)
 
     def leave_to_next_owner(self, server):
         """Stop tracking the runs of a server that another instance may own now."""
@@ -508,6 +513,21 @@
             case _:
                 self._requeue_task(run)
 
+    def _record_losses(self, server, runs):
+        """Record which tasks lost their server, and give up those that lost several."""
+        if not runs:
+            return
+        self.crash_history.record(server, [run.name for run in runs])
+        for run in runs:
+            if self.crash_history.is_given_up(run.name):
+                self.context.log(
+                    LogCode.TASK_GIVEN_UP,
+                    run.name,
+                    servers=self.crash_history.list_lost_servers(run.name),
+                )
+                if run.task is not None and not run.task.job.is_ended:
+                    self.jobs.fail(run.task.job, EndReason.ATTEMPTS_USED_UP)
+
     def _requeue_task(self, run):
         if run.task is not None and run.task.phase is TaskPhase.PLACED:
             run.task.job.set_phase(run.task, TaskPhase.WAITING)
@@ -515,6 +535,7 @@
     def _record_success(self, server, run):
         server.n_failures = 0
         server.suspect_until_ms = 0.0
+        self.crash_history.clear_task(run.name)
         if run.is_found:
             # Its start is not known.
             return
--- a/buckthornshift/dispatch/_scheduler.py
+++ b/buckthornshift/dispatch/_scheduler.py
@@ -64,6 +64,7 @@
             self._start_tasks(job, candidates_by_service[job.queue.service])
             if self._has_waited_too_long(job):
                 self._end_overloaded(job)
+        self._start_suspects(jobs, candidates_by_service)
 
     def _find_candidates(self, jobs, cell):
         """Return the candidate servers in a cell, by service that jobs wait for."""
@@ -101,28 +102,48 @@
         wait_end_ms = objective_missed_ms + LATE_WAIT_FRACTION * max_wait_ms
         return not job.may_have_run and self.context.now_ms > wait_end_ms
 
+    def _is_suspect(self, task):
+        return self.runs.crash_history.is_suspect(task.name)
+
+    def _start_suspects(self, jobs, candidates_by_service):
+        """Start each task that may have crashed a server alone on an idle one.
+
+        Another crash then harms no other task, and tells which task is the cause. These
+        tasks come last, as a crash takes capacity from all others.
+        """
+        for job in jobs:
+            candidates = candidates_by_service[job.queue.service]
+            for task in list(job.waiting_by_name.values()):
+                if not self._is_suspect(task) or self.runs.is_open(task.name):
+                    continue
+                idle = [s for s in candidates.find_allowed(task) if s.is_idle]
+                server = self._choose_best(task, idle, candidates)
+                if server is not None:
+                    self.runs.start(task, server)
+                    candidates.servers.remove(server)
+
     def _start_tasks(self, job, candidates):
         for task in list(job.waiting_by_name.values()):
             if not candidates.may_fit(task.spec.need) or self.runs.is_open(task.name):
                 continue
+            if self._is_suspect(task):
+                continue
             server = self._choose_server(task, candidates)
             if server is not None:
                 self.runs.start(task, server)
                 candidates.remove_if_full(server)
 
     def _choose_server(self, task, candidates):
-        fitting = [
-            server
-            for server in candidates.servers
-            if server.free.covers(task.spec.need)
-            and candidates.may_take_another(server)
-        ]
+        fitting = candidates.find_fitting(task)
         if not fitting:
             candidates.record_no_fit(task.spec.need)
             return None
         allowed = [s for s in fitting if _meets_constraints(task, s)]
+        return self._choose_best(task, allowed, candidates)
+
+    def _choose_best(self, task, servers, candidates):
         return min(
-            allowed,
+            servers,
             key=lambda s: self._make_sort_key(task, s, candidates),
             default=None,
         )
@@ -164,6 +185,18 @@
         ]
         self._min_unplaceable_cpu = float("inf")
 
+    def find_fitting(self, task):
+        """Return the servers that have room for a task."""
+        return [
+            server
+            for server in self.servers
+            if server.free.covers(task.spec.need) and self.may_take_another(server)
+        ]
+
+    def find_allowed(self, task):
+        """Return the servers that have room for a task and meet its constraints."""
+        return [s for s in self.find_fitting(task) if _meets_constraints(task, s)]
+
     def may_take_another(self, server):
         """Return whether a server may get another task.
 
--- a/buckthornshift/proving/fleet/_callers.py
+++ b/buckthornshift/proving/fleet/_callers.py
@@ -13,7 +13,10 @@
 )
 
 RESUBMIT_DELAY_MS = 1_300.0
-CRASHING_JOB_TIMEOUT_MS = 9_000.0
+# Long enough for a task to crash five servers.
+CRASHING_JOB_TIMEOUT_MS = 8_000.0
+# Crashed servers must be back before the final batch.
+MAX_CRASH_EFFECT_MS = CRASHING_JOB_TIMEOUT_MS + 3_500.0
 POISON_PROBABILITY = 0.01
 # A fault lasts up to 4 s, and a job submitted before its end takes up to another 4 s.
 FINAL_BATCH_DELAY_MS = 8_000.0
@@ -114,12 +117,16 @@
         timeout_ms = (
             FINAL_BATCH_TIMEOUT_MS if is_final_batch else 300.0 + 3.0 * chain_ms
         )
-        if self.crash_probability and random_state.random() < self.crash_probability:
+        if self._may_crash_servers() and random_state.random() < self.crash_probability:
             self._crashing_tasks.add(job.make_task_name(0, 0))
-            # Time for many servers, as callers of long jobs wait.
             timeout_ms = CRASHING_JOB_TIMEOUT_MS
         self._submit(job, queue, timeout_ms, is_final_batch, 1)
 
+    def _may_crash_servers(self):
+        final_batch_ms = self.world.plan.busy_ms + FINAL_BATCH_DELAY_MS
+        end_ms = self.world.clock.now_ms + MAX_CRASH_EFFECT_MS
+        return self.crash_probability > 0 and end_ms < final_batch_ms
+
     def _draw_steps(self, kind, mean_ms):
         random_state = self.world.random_state
         label = random_state.choice(("", "", "", "a"))
--- a/buckthornshift/proving/fleet/_network.py
+++ b/buckthornshift/proving/fleet/_network.py
@@ -179,6 +179,8 @@
             self._schedule_result(instance, command, Verdict.NOT_SENT, 1.0, key)
             return
         if server.model is None or not is_reachable:
+            if isinstance(command, StartRun):
+                world.oracle.record_lost_start(command)
             self._schedule_result(instance, command, Verdict.NO_ANSWER, 250.0, key)
             return
         response = self._execute_command(server, command)
--- a/buckthornshift/proving/fleet/_oracle.py
+++ b/buckthornshift/proving/fleet/_oracle.py
@@ -11,6 +11,8 @@
 # After so many crashes, so many more starts of a task violate the budget.
 MAX_CRASHES = 3
 MAX_STARTS_AFTER_CRASHES = 3
+# A task may be given up once so many servers were lost under it.
+MIN_LOSSES_TO_GIVE_UP = 2
 OUTAGE_RECOVERY_MS = 3_000.0
 
 
@@ -26,7 +28,8 @@
     - ``NOT_RUN_IS_TRUE``: no task of a job that is answered "not run" has started.
     - ``ONE_ANSWER``: every request gets an answer, or its connection ends.
     - ``WHOLE_ANSWER``: all tasks of a job that is answered "completed" have completed.
-    - ``FAILED_HAS_CAUSE``: a job fails as out of attempts only if a task used them all.
+    - ``FAILED_HAS_CAUSE``: a job fails as out of attempts only if a task used them all,
+      or lost two servers.
     - ``CONFIGURATION``: an instance never returns to an older configuration.
     - ``STOP_CUTS_NOTHING``: an instance exits gracefully only without open requests.
     - ``ORPHAN_STOPPED``: no run, job or request is left at the end.
@@ -72,6 +75,8 @@
     :param has_started: whether a server has started a task of the job.
     :param n_failures_by_task: number of failed runs by task name.
     :param n_crashes_by_task: servers that crashed under a run, by task name.
+    :param n_losses_by_task: runs that ended with their server or its lease, and starts
+        that did not reach a server, by task name.
     :param n_starts_by_task: starts after too many crashes, by task name.
     :param completed_tasks: names of the tasks that have completed.
     :param is_final_batch: whether it was submitted after the last fault.
@@ -84,6 +89,7 @@
     has_started: bool = False
     n_failures_by_task: dict = attrs.field(factory=dict)
     n_crashes_by_task: dict = attrs.field(factory=dict)
+    n_losses_by_task: dict = attrs.field(factory=dict)
     n_starts_by_task: dict = attrs.field(factory=dict)
     completed_tasks: set = attrs.field(factory=set)
     is_final_batch: bool = False
@@ -198,6 +204,12 @@
                 self.counts.n_stopped += 1
             case EndKind.LAPSED:
                 self.counts.n_lapsed += 1
+                self._count_loss(observed, run.task)
+
+    def record_lost_start(self, command):
+        """Record that a start command did not reach its server."""
+        observed = self.jobs_by_id[command.task.partition(".")[0]]
+        self._count_loss(observed, command.task)
 
     def check_graceful_stop(self, instance):
         """Check that an instance exits gracefully only without open requests."""
@@ -254,15 +266,23 @@
             self._raise_violation(FleetRule.NOT_RUN_IS_TRUE, job_id)
 
     def _is_poisoned(self, observed):
-        return any(
+        is_failing = any(
             n >= observed.queue.max_attempts
             for n in observed.n_failures_by_task.values()
         )
+        is_crashing = any(
+            n >= MIN_LOSSES_TO_GIVE_UP for n in observed.n_losses_by_task.values()
+        )
+        return is_failing or is_crashing
 
     def _check_failure_reason(self, observed, action):
         if action.reason == "attempts_used_up" and not self._is_poisoned(observed):
             self._raise_violation(FleetRule.FAILED_HAS_CAUSE, observed.spec.job_id)
 
+    def _count_loss(self, observed, task):
+        n_losses = observed.n_losses_by_task.get(task, 0)
+        observed.n_losses_by_task[task] = n_losses + 1
+
     def _check_budget(self, run, observed):
         if observed.n_crashes_by_task.get(run.task, 0) < MAX_CRASHES:
             return
--- a/tests/dispatch/test_peer_messages.py
+++ b/tests/dispatch/test_peer_messages.py
@@ -24,6 +24,7 @@
     "ServersShared",
     "LessonsShared",
     "ConfigurationShared",
+    "ServerLoss",
 ]
 
 
