--- a/tests/dispatch/test_leases.py
+++ b/tests/dispatch/test_leases.py
@@ -218,3 +218,31 @@
     owner.advance_time(300.0)
     claims = [a for a in owner.pop(RenewLease) if a.server.server_id == "s1"]
     assert len(claims) <= 1
+
+
+def test_task_of_a_crashed_server_starts_again_when_its_last_lease_has_expired():
+    """Renewals that the server's machine refuses don't prolong the wait."""
+    owner = Owner()
+    start = owner.submit()
+    owner.answer_start(start)
+    server = owner.core.fleet.by_id[start.server.server_id]
+    owner.advance_time(200.0)
+    owner.unreachable_ids.add(server.id)
+    crash_ms = owner.now_ms
+    verdict = Verdict.NO_ANSWER
+    while not (starts := owner.pop(StartRun)):
+        if server.renewal_sent_ms is not None:
+            owner.feed(
+                RenewalAnswered(
+                    server_id=server.id,
+                    token=server.token,
+                    sent_ms=server.renewal_sent_ms,
+                    verdict=verdict,
+                )
+            )
+            verdict = Verdict.NOT_SENT
+        owner.advance_time(10.0)
+    (restart,) = starts
+    assert restart.task == start.task
+    settings = owner.core.context.settings
+    assert owner.now_ms <= crash_ms + settings.max_lease_duration_ms + settings.retry_ms
