FIX A replaced server is not listed and claimed again while its old entry lasts

A server that answers as another process was dropped from the owner's list, but its former entry stays in the store until it expires (three heartbeats), so that each update of the list added it again as a new server, claimed it, got 421 and sent every instance two changes, twice a second for each of them. Meanwhile it counted as room that is being claimed, and the claim as incomplete, so that resent jobs waited.

Change: the server stays in the list, marked as replaced: never claimed, not counted, gone when its entry is. Test: test_replaced_server_is_not_claimed_again_while_its_old_entry_is_listed.

--- a/buckthornshift/dispatch/_fleet.py
+++ b/buckthornshift/dispatch/_fleet.py
@@ -58,6 +58,8 @@
     :param last_response_ms: when the server last responded.
     :param is_reachable: whether it responds.
     :param unlisted_since_ms: when its entry vanished from the list, or ``None``.
+    :param is_replaced: whether another server answers at its address, so that it is
+        gone; its entry may be listed for some seconds more.
     :param suspect_until_ms: until when other servers are preferred to it.
     :param n_failures: consecutive failures.
     :param slowness: moving average of the ratio of actual to estimated run times.
@@ -85,6 +87,7 @@
     last_response_ms: float = 0.0
     is_reachable: bool = True
     unlisted_since_ms: float | None = None
+    is_replaced: bool = False
     suspect_until_ms: float = 0.0
     n_failures: int = 0
     slowness: float = 1.0
@@ -351,6 +354,7 @@
         return any(
             server.record.service == service
             and not server.record.is_draining
+            and not server.is_replaced
             and self._is_listed(server)
             and server.record.capacity.covers(step.need)
             and (not step.required_label or step.required_label in server.record.labels)
--- a/buckthornshift/dispatch/_leases.py
+++ b/buckthornshift/dispatch/_leases.py
@@ -328,7 +328,9 @@
             # The runs of this instance's earlier claim continue under its token.
             server.ownership = Ownership.OWNED
             return
-        if server.ownership is not Ownership.NONE or self._is_held_elsewhere(server):
+        if server.ownership is not Ownership.NONE or server.is_replaced:
+            return
+        if self._is_held_elsewhere(server):
             return
         server.ownership = Ownership.CLAIMING
         server.token = make_token(election.term, self.context.random_state)
@@ -449,7 +451,8 @@
 
     def _drop_replaced(self, server):
         server.ownership = Ownership.NONE
-        server.unlisted_since_ms = self.context.now_ms - UNLISTED_RETENTION_MS
+        server.is_replaced = True
+        server.is_reachable = False
         self.runs.lose_all(server, "server_replaced")
         self._remove_if_gone(server)
 
@@ -458,7 +461,7 @@
         if server.unlisted_since_ms is None or not server.is_idle:
             return
         unlisted_ms = context.now_ms - server.unlisted_since_ms
-        is_gone = unlisted_ms >= UNLISTED_RETENTION_MS
+        is_gone = server.is_replaced or unlisted_ms >= UNLISTED_RETENTION_MS
         # Its entry may have lapsed, and only this instance may be unable to reach it.
         is_lost = unlisted_ms >= context.settings.unlisted_grace_ms
         if is_gone or (is_lost and not server.is_reachable):
@@ -483,7 +486,7 @@
         if self.list_follower.may_be_stale and age_ms < all_lapsed_ms:
             # Tasks may run on a server that is missing from the list.
             return 0
-        servers = self.fleet.list_servers(cell)
+        servers = [s for s in self.fleet.list_servers(cell) if not s.is_replaced]
         if not all(s.ownership is Ownership.OWNED for s in servers):
             return 0
         return min((s.token >> TOKEN_RANDOM_BITS for s in servers), default=0)
--- a/tests/dispatch/test_leases.py
+++ b/tests/dispatch/test_leases.py
@@ -246,3 +246,26 @@
     assert restart.task == start.task
     settings = owner.core.context.settings
     assert owner.now_ms <= crash_ms + settings.max_lease_duration_ms + settings.retry_ms
+
+
+def test_replaced_server_is_not_claimed_again_while_its_old_entry_is_listed():
+    """The entry of a crashed server stays in the store until it expires."""
+    owner = Owner()
+    gone = owner.core.fleet.by_id["s0"]
+    owner.core.lease_manager.poll_now(gone)
+    owner.feed(
+        RenewalAnswered(
+            server_id=gone.id,
+            token=gone.token,
+            sent_ms=gone.renewal_sent_ms or owner.now_ms,
+            verdict=Verdict.OTHER_INCARNATION,
+        )
+    )
+    owner.pop(RenewLease)
+    owner.feed(ServersRead(servers=(*owner.records, make_server("s9"))))
+    owner.advance_time(1_000.0)
+    assert gone.id not in {action.server.server_id for action in owner.pop(RenewLease)}
+    assert owner.complete_term == owner.term
+    owner.feed(ServersRead(servers=(owner.records[1], make_server("s9"))))
+    owner.advance_time(200.0)
+    assert set(owner.core.fleet.by_id) == {"s1", "s9"}
