FIX Reduced capacity of a server isn't counted as negative room, and is part of the list's digest

Starts already respected it: a changed entry replaces the record, and what its runs need stays reserved. Two faults beside: a server whose runs need more than is left counted as negative room in admission, so that jobs were refused that fit elsewhere; and an instance that had missed only a change of capacity was never sent the list again.

Fault SERVER_SHRINKS of the fleet simulation, with the oracle's capacity rule at the reduced capacity after 4.5 s (ContactMs and one heartbeat); mutation ignore_reduced_capacity. Tests that failed before: test_reduced_capacity_is_never_counted_as_negative_room, test_lists_that_differ_in_capacity_have_different_digests.

--- a/buckthornshift/dispatch/_fleet.py
+++ b/buckthornshift/dispatch/_fleet.py
@@ -102,6 +102,11 @@
         """Whether no run is known on it."""
         return not self.run_by_name
 
+    @property
+    def free_cpu(self):
+        """Free CPU; 0 while its runs need more than its reduced capacity."""
+        return max(0, self.free.cpu)
+
     @property
     def has_unacked_stop(self):
         """Whether it was told to stop a run and has not acknowledged that."""
@@ -207,7 +212,7 @@
     def digest(self):
         """Return a checksum of the list, to compare it with that of other instances."""
         return sum(
-            server.hash + server.record.is_draining
+            server.hash + server.record.is_draining + server.record.capacity.cpu
             for server in self.by_id.values()
             if server.unlisted_since_ms is None
         ) % (2**HASH_BITS)
@@ -312,7 +317,7 @@
         :param cell: number of the cell.
         """
         return sum(
-            server.free.cpu // need_cpu
+            server.free_cpu // need_cpu
             for server in self.list_servers(cell)
             if server.record.service == service
             and (self.is_schedulable(server) or self._is_being_claimed(server))
@@ -337,7 +342,7 @@
     def count_free_cpu(self, cell):
         """Return the free CPU of the schedulable servers, in thousandths of a core."""
         return sum(
-            s.free.cpu for s in self.list_servers(cell) if self.is_schedulable(s)
+            s.free_cpu for s in self.list_servers(cell) if self.is_schedulable(s)
         )
 
     def count_owned(self, cell=None):
--- a/buckthornshift/proving/fleet/_faults.py
+++ b/buckthornshift/proving/fleet/_faults.py
@@ -11,6 +11,8 @@
 MAX_LAPSE_MS = 2_000.0
 DISCONNECT_PROBABILITY = 0.4
 CRASH_PROBABILITY = 0.1
+# Well above the time after which a reduced capacity must be respected.
+SHRINK_DURATION_MS = 8_000.0
 CLOCK_STEP_MS = 3_000.0
 # Faults that keep an instance from running, or from reading the store, for a while.
 INSTANCE_OUTAGES = (
@@ -155,6 +157,9 @@
                 self._set_server_faults(
                     fault, server, TaskServerFaults(slow_factor=6.0)
                 )
+            case FleetFault.SERVER_SHRINKS:
+                world.shrink_server(server)
+                world.clock.schedule(SHRINK_DURATION_MS, world.restore_server, server)
             case FleetFault.SERVER_FAILS:
                 self._set_server_faults(fault, server, TaskServerFaults(fails=True))
             case FleetFault.SERVER_HANGS:
--- a/buckthornshift/proving/fleet/_oracle.py
+++ b/buckthornshift/proving/fleet/_oracle.py
@@ -14,6 +14,8 @@
 # A task may be given up once so many servers were lost under it.
 MIN_LOSSES_TO_GIVE_UP = 2
 OUTAGE_RECOVERY_MS = 3_000.0
+# Time until instances must respect that the capacity of a server was reduced.
+REDUCED_CAPACITY_NOTICE_MS = 4_500.0
 
 
 class FleetRule(enum.StrEnum):
@@ -122,6 +124,8 @@
         self._server_by_task = {}
         self._version_by_process = {}
         self.drain_start_ms_by_server = {}
+        # When the capacity of a server was reduced, and to what.
+        self._reduced_by_server = {}
 
     def record_request(self, job, queue, is_final_batch):
         """Record that a request for a job reached an instance."""
@@ -206,6 +210,16 @@
                 self.counts.n_lapsed += 1
                 self._count_loss(observed, run.task)
 
+    def record_reduced_capacity(self, server_id, capacity):
+        """Record that a server declares less capacity, or all of it again.
+
+        :param server_id: id of the server.
+        :param capacity: the capacity; ``None`` for its full one.
+        """
+        self._reduced_by_server.pop(server_id, None)
+        if capacity is not None:
+            self._reduced_by_server[server_id] = (self.world.clock.now_ms, capacity)
+
     def record_lost_start(self, command):
         """Record that a start command did not reach its server."""
         observed = self.jobs_by_id[command.task.partition(".")[0]]
@@ -299,13 +313,24 @@
         for other in server.run_by_task.values():
             used_cpu += self._get_need(other.task).cpu
             used_mb += self._get_need(other.task).memory_mb
-        is_over_capacity = (
-            used_cpu > server.capacity.cpu or used_mb > server.capacity.memory_mb
-        )
-        if is_over_capacity:
-            detail = f"{server.server_id}, cpu {used_cpu} of {server.capacity.cpu}"
+        capacity = self._get_capacity_in_force(server)
+        if used_cpu > capacity.cpu or used_mb > capacity.memory_mb:
+            detail = f"{server.server_id}, cpu {used_cpu} of {capacity.cpu}"
             self._raise_violation(FleetRule.CAPACITY, f"{run.task} starts on {detail}")
 
+    def _get_capacity_in_force(self, server):
+        """Return the capacity of a server that every instance must respect by now."""
+        since_ms, capacity = self._reduced_by_server.get(server.server_id, (0.0, None))
+        is_known = self._is_undisturbed() and (
+            self.world.clock.now_ms > since_ms + REDUCED_CAPACITY_NOTICE_MS
+        )
+        return server.capacity if capacity is None or not is_known else capacity
+
+    def _is_undisturbed(self):
+        """Return whether instances have been running and reading the store."""
+        now_ms = self.world.clock.now_ms
+        return now_ms > self.world.last_outage_end_ms + OUTAGE_RECOVERY_MS
+
     def _check_placement(self, server, run, observed):
         record = self.world.find_record(server.server_id)
         step = self.find_step(run.task)
@@ -320,9 +345,7 @@
         if drain_start_ms is None:
             return
         now_ms = self.world.clock.now_ms
-        # The rule holds only while instances run and can read the store.
-        is_undisturbed = now_ms > self.world.last_outage_end_ms + OUTAGE_RECOVERY_MS
-        if is_undisturbed and now_ms > drain_start_ms + DRAIN_NOTICE_MS:
+        if self._is_undisturbed() and now_ms > drain_start_ms + DRAIN_NOTICE_MS:
             self._raise_violation(
                 FleetRule.DRAINING, f"{run.task} starts on {server.server_id}"
             )
--- a/buckthornshift/proving/fleet/_plan.py
+++ b/buckthornshift/proving/fleet/_plan.py
@@ -20,7 +20,8 @@
       messages from and to an instance wait for seconds, as in the queue of a full link.
     - ``STORE_OUTAGE`` makes the store unreachable for all, ``STORE_PARTITION`` for one
       instance; ``ENTRIES_LAPSE`` drops servers from its list for a while.
-    - ``SERVER_*`` kill, drain, add, slow down, break, hang or isolate a backend server.
+    - ``SERVER_*`` kill, drain, add, slow down, break, hang or isolate a backend server,
+      or halve its capacity for some seconds.
     - ``COMMANDS_LATE`` delays commands to servers beyond their timeout;
       ``RESPONSES_LOST`` drops the responses to them.
     - ``CALLERS_DISCONNECT`` makes callers disconnect early; ``BURST`` raises the rate
@@ -52,6 +53,7 @@
     SERVER_FAILS = "server_fails"
     SERVER_HANGS = "server_hangs"
     SERVER_PARTITION = "server_cut"
+    SERVER_SHRINKS = "server_shrinks"
     ENTRIES_LAPSE = "entries_lapse"
     COMMANDS_LATE = "orders_late"
     RESPONSES_LOST = "answers_lost"
--- a/buckthornshift/proving/fleet/_world.py
+++ b/buckthornshift/proving/fleet/_world.py
@@ -150,6 +150,22 @@
         server.record = attrs.evolve(server.record, is_draining=True)
         self.clock.schedule(DRAIN_DURATION_MS, self._finish_drain, server)
 
+    def shrink_server(self, server):
+        """Halve the capacity that a server declares; its runs go on."""
+        full = server.model.capacity if server.model is not None else None
+        if full is None or server.record.capacity != full:
+            return
+        capacity = attrs.evolve(full, cpu=full.cpu // 2, memory_mb=full.memory_mb // 2)
+        server.record = attrs.evolve(server.record, capacity=capacity)
+        self.oracle.record_reduced_capacity(server.name, capacity)
+
+    def restore_server(self, server):
+        """Restore the full capacity of a server."""
+        if server.model is not None:
+            full = server.model.capacity
+            server.record = attrs.evolve(server.record, capacity=full)
+            self.oracle.record_reduced_capacity(server.name, None)
+
     def start_instance(self, instance):
         """Start a new process of an instance that is down."""
         if instance.core is not None:
--- a/tests/dispatch/test_server_health.py
+++ b/tests/dispatch/test_server_health.py
@@ -3,13 +3,16 @@
 Suspicion expires, and it is ignored if it affects most servers of a zone.
 """
 
-from buckthornshift.dispatch import Resources, ServerRecord
+import attrs
+
+from buckthornshift.dispatch import DispatchSettings, Resources, ServerRecord
 from buckthornshift.dispatch._context import DispatchContext
-from buckthornshift.dispatch._fleet import Fleet
+from buckthornshift.dispatch._fleet import Fleet, Ownership
+from buckthornshift.dispatch._jobs import Run
 
 
 def make_fleet(n_servers=6, n_zones=2):
-    fleet = Fleet(context=DispatchContext())
+    fleet = Fleet(context=DispatchContext(settings=DispatchSettings()))
     fleet.update_list(
         [
             ServerRecord(
@@ -71,3 +74,22 @@
     for server_id in ("s0", "s2", "s4", "s1"):
         suspect(fleet, server_id)
     assert find_suspect_ids(fleet) == {"s1"}
+
+
+def test_reduced_capacity_is_never_counted_as_negative_room():
+    """The runs on a server need more than the capacity that is left."""
+    fleet = make_fleet(n_servers=2, n_zones=1)
+    for server in fleet.by_id.values():
+        server.ownership = Ownership.OWNED
+    busy = fleet.by_id["s0"]
+    busy.add_run(Run(name="t", need=Resources(cpu=800)))
+    busy.update_record(attrs.evolve(busy.record, capacity=Resources(cpu=500)))
+    assert fleet.count_free_cpu(0) == 1_000
+    assert fleet.count_free_slots("s", 300, 0) == 3
+
+
+def test_lists_that_differ_in_capacity_have_different_digests():
+    fleet, other = make_fleet(), make_fleet()
+    server = other.by_id["s0"]
+    server.update_record(attrs.evolve(server.record, capacity=Resources(cpu=500)))
+    assert fleet.digest() != other.digest()
--- a/tests/proving/fleet/test_cells_runs.py
+++ b/tests/proving/fleet/test_cells_runs.py
@@ -5,7 +5,11 @@
 from buckthornshift.proving.fleet import FleetFault, run_cells_seed
 
 # The kinds that the regression seeds draw their faults from.
-NEWER_KINDS = (FleetFault.LINK_FULL, FleetFault.TASKS_CRASH_SERVERS)
+NEWER_KINDS = (
+    FleetFault.LINK_FULL,
+    FleetFault.TASKS_CRASH_SERVERS,
+    FleetFault.SERVER_SHRINKS,
+)
 FORMER_KINDS = [kind for kind in FleetFault if kind not in NEWER_KINDS]
 # Regression seeds, each with the fault that it revealed.
 REGRESSION_SEEDS = {
--- a/tests/proving/fleet/test_fleet_mutations.py
+++ b/tests/proving/fleet/test_fleet_mutations.py
@@ -11,7 +11,7 @@
     Verdict,
 )
 from buckthornshift.dispatch._core import DispatchCore
-from buckthornshift.dispatch._fleet import Fleet
+from buckthornshift.dispatch._fleet import Fleet, Server
 from buckthornshift.dispatch._owner_jobs import OwnerJobs
 from buckthornshift.dispatch._request_router import RequestRouter
 from buckthornshift.dispatch._runs import RunTracker
@@ -203,7 +203,18 @@
     )
 
 
+def ignore_reduced_capacity(monkeypatch):
+    """Keep using the capacity that a server declared first."""
+    update_record = Server.update_record
+
+    def update_all_but_capacity(self, record):
+        update_record(self, attrs.evolve(record, capacity=self.record.capacity))
+
+    monkeypatch.setattr(Server, "update_record", update_all_but_capacity)
+
+
 MUTATIONS = [
+    (ignore_reduced_capacity, FleetRule.CAPACITY, [FleetFault.SERVER_SHRINKS]),
     (forget_lost_runs, FleetRule.BUDGET, [FleetFault.TASKS_CRASH_SERVERS]),
     (ignore_capacity, FleetRule.CAPACITY, [FleetFault.BURST]),
     (
--- a/tests/proving/fleet/test_fleet_seeds.py
+++ b/tests/proving/fleet/test_fleet_seeds.py
@@ -16,7 +16,11 @@
 from buckthornshift.proving.fleet._plan import draw_fleet_plan
 
 # The kinds that the older regression seeds draw their faults from.
-NEWER_KINDS = (FleetFault.LINK_FULL, FleetFault.TASKS_CRASH_SERVERS)
+NEWER_KINDS = (
+    FleetFault.LINK_FULL,
+    FleetFault.TASKS_CRASH_SERVERS,
+    FleetFault.SERVER_SHRINKS,
+)
 FORMER_KINDS = [kind for kind in FleetFault if kind not in NEWER_KINDS]
 
 
