FIX A job with too many tasks is rejected on arrival

An owner makes an object for each task of a job (427 bytes, measured with 4,096 tasks), and TaskCount had no upper bound, so that 100 bytes of a job asked for any amount of memory; after the loss of its owner the job is resubmitted to the next one. A job may now have 4,096 tasks in all; the users' largest have 340.

Test: test_job_with_too_many_tasks_is_rejected_on_arrival (failed before).

--- a/buckthornshift/platform/_documents.py
+++ b/buckthornshift/platform/_documents.py
@@ -101,6 +101,8 @@
 _SERVER_STATES = ("ready", "draining")
 JOB_ID_CHARS = 16
 MAX_PAYLOAD_BYTES = 4_000
+# Far above the largest jobs of 340 tasks; an owner keeps an object for each task.
+MAX_TASKS_PER_JOB = 4_096
 
 
 @attrs.frozen(kw_only=True)
@@ -225,6 +227,11 @@
         raise UnreadableError(f"payload: expected at most {MAX_PAYLOAD_BYTES} bytes")
     if not job.steps:
         raise UnreadableError("steps: expected at least one")
+    n_tasks = sum(step.task_count for step in job.steps)
+    if n_tasks > MAX_TASKS_PER_JOB:
+        raise UnreadableError(
+            f"{n_tasks} tasks: expected at most {MAX_TASKS_PER_JOB} in a job"
+        )
     for number, step in enumerate(job.steps):
         if step.task_count < 1 or min(step.cpu, step.mem_mb, step.gpu) < 0:
             raise UnreadableError(f"step {number}: expected tasks and amounts >= 0")
--- a/tests/platform/test_platform_documents.py
+++ b/tests/platform/test_platform_documents.py
@@ -134,3 +134,16 @@
 def test_an_invalid_job_is_rejected(job_id, value):
     with pytest.raises(UnreadableError):
         decode_job(job_id, encode(value))
+
+
+# Guards against a job that takes the memory of each owner it is sent to in turn.
+@pytest.mark.parametrize("steps", [[{"TaskCount": 10**9}], [{"TaskCount": 300}] * 20])
+def test_job_with_too_many_tasks_is_rejected_on_arrival(steps):
+    body = json.dumps({"BestEffort": True, "Steps": steps}).encode()
+    with pytest.raises(UnreadableError, match="expected at most 4096 in a job"):
+        decode_job(JOB_ID, body)
+
+
+def test_largest_job_of_the_users_is_accepted():
+    body = json.dumps({"BestEffort": True, "Steps": [{"TaskCount": 340}]}).encode()
+    assert decode_job(JOB_ID, body).job.steps[0].n_tasks == 340
