--- a/buckthornshift/serving/_logs.py
+++ b/buckthornshift/serving/_logs.py
@@ -2,6 +2,7 @@
 
 import collections
 import os
+import time
 
 import eliot
 import msgspec
@@ -40,6 +41,7 @@
         self._n_unreported = 0
         self._tokens = 2.0 * lines_per_s
         self._refilled_ms = None
+        self._logger = eliot.Logger()
         self._buffer = collections.deque()
         self._n_buffered_bytes = 0
 
@@ -92,17 +94,19 @@
         return b"".join(lines)
 
     def _log_message(self, line):
-        eliot.log_message(
-            message_type=line.code.name.lower(),
-            code=int(line.code),
-            instance=self.instance_name,
-            subject=line.subject,
-            **line.fields,
+        # Lines belong to no task of eliot, so they don't need a new one for each.
+        self._logger.write(
+            {
+                "code": int(line.code),
+                "instance": self.instance_name,
+                "subject": line.subject,
+                **line.fields,
+                "timestamp": time.time(),
+                "message_type": line.code.name.lower(),
+            }
         )
 
     def _buffer_message(self, message):
-        message.pop("task_uuid", None)
-        message.pop("task_level", None)
         data = _ENCODER.encode(message) + b"\n"
         if self._n_buffered_bytes + len(data) > MAX_BUFFER_BYTES:
             self.n_dropped += 1
