MNT Adoption of runs of former owners has a module of its own

What may still run under former owners, and how their runs and completions reach their jobs, is in _run_adoption.py now.

--- a/buckthornshift/dispatch/_leases.py
+++ b/buckthornshift/dispatch/_leases.py
@@ -110,7 +110,7 @@
     def _hand_over(self, cell):
         jobs = self.runs.jobs
         for job in jobs.list_open(cell):
-            jobs.hand_over(job, self.runs.list_left(job))
+            jobs.hand_over(job, self.runs.adoption.list_left(job))
         for server in self.fleet.list_servers(cell):
             if server.ownership is not Ownership.OWNED or server.is_idle:
                 continue
@@ -388,7 +388,7 @@
     def _finish_claim(self, server, event):
         context = self.context
         server.ownership = Ownership.OWNED
-        self.runs.clear_lost(server.id)
+        self.runs.adoption.clear_lost(server.id)
         context.log(
             LogCode.SERVER_TAKEN,
             server.id,
@@ -407,8 +407,7 @@
                 progress_changed_ms=context.now_ms,
                 is_found=True,
             )
-            server.add_run(run)
-            self.runs.adopt_if_job_known(server, run)
+            self.runs.track_found(server, run)
         if server.n_unsized_runs:
             context.start_timer(
                 context.settings.adopt_ms, AdoptionTimeout(server_id=server.id)
@@ -466,7 +465,7 @@
         is_lost = unlisted_ms >= context.settings.unlisted_grace_ms
         if is_gone or (is_lost and not server.is_reachable):
             self.fleet.remove(server)
-            self.runs.clear_lost(server.id)
+            self.runs.adoption.clear_lost(server.id)
             context.emit(DisconnectServer(server_id=server.id))
 
     def _complete_claim_if_due(self, cell):
--- a/buckthornshift/dispatch/_owner_jobs.py
+++ b/buckthornshift/dispatch/_owner_jobs.py
@@ -300,7 +300,7 @@
             is_resent=job.is_resent,
         )
         if job.is_resent:
-            self.runs.adopt_runs_of(job, message)
+            self.runs.adoption.adopt_runs_of(job, message)
         context.post(ServersChanged())
 
     def _refuse(self, job, refusal):
--- /dev/null
+++ b/buckthornshift/dispatch/_run_adoption.py
@@ -0,0 +1,154 @@
+"""Runs that former owners of the servers started, and their adoption by their jobs."""
+
+from ._actions import LogCode
+from ._fleet import Ownership
+from ._internal_messages import ServersChanged
+from ._jobs import RunPhase, TaskPhase
+from ._peer_messages import RunLeft
+
+
+class RunAdoption:
+    """Know which runs of former owners may go on, and assign them to their jobs.
+
+    :param context: the shared :class:`DispatchContext`.
+    :param fleet: the :class:`Fleet`.
+    :param jobs: the :class:`OwnerJobs`.
+    :param runs: the :class:`RunTracker`.
+    """
+
+    def __init__(self, context=None, fleet=None, jobs=None, runs=None):
+        self.context = context
+        self.fleet = fleet
+        self.jobs = jobs
+        self.runs = runs
+        self._completed_ms_by_name = {}
+        self._lost_server_id_by_name = {}
+        # For runs that a former owner handed over: the server, when that was, and when
+        # their leases must have expired.
+        self._left_run_by_name = {}
+
+    def may_run(self, name):
+        """Return whether a run of a task may go on that is not tracked here.
+
+        :param name: name of the task.
+        """
+        if name in self._lost_server_id_by_name:
+            return True
+        _, _, until_ms = self._left_run_by_name.get(name, (None, 0.0, 0.0))
+        return self.context.now_ms < until_ms
+
+    def record_lost(self, name, server_id):
+        """Record that a run goes on at a server that another instance may own now."""
+        self._lost_server_id_by_name[name] = server_id
+
+    def clear_lost(self, server_id):
+        """Forget the runs that were lost with a server.
+
+        Called once the server has reported its runs again, or has been removed.
+        """
+        for name, lost_id in list(self._lost_server_id_by_name.items()):
+            if lost_id == server_id:
+                del self._lost_server_id_by_name[name]
+        self.clear_left(server_id, self.context.now_ms)
+
+    def clear_left(self, server_id, asked_ms):
+        """Forget runs of a former owner that a server was asked about since then.
+
+        :param server_id: id of the server.
+        :param asked_ms: when the request was sent that the server has answered.
+        """
+        for name, (left_id, since_ms, _) in list(self._left_run_by_name.items()):
+            if left_id == server_id and asked_ms >= since_ms:
+                del self._left_run_by_name[name]
+
+    def list_left(self, job):
+        """Return a :class:`RunLeft` of each run of a job that may not have ended."""
+        server_id_by_name = self._lost_server_id_by_name | {
+            name: left_run[0] for name, left_run in self._left_run_by_name.items()
+        }
+        for task in job.tasks:
+            server, _ = self.runs.find_open(task.name)
+            if server is not None:
+                server_id_by_name[task.name] = server.id
+        return tuple(
+            RunLeft(task=task.name, server_id=server_id_by_name[task.name])
+            for task in job.tasks
+            if task.name in server_id_by_name
+        )
+
+    def adopt_if_job_known(self, server, run):
+        """Assign a run found at a takeover to its job, if that is known."""
+        job = self.jobs.by_id.get(run.name.partition(".")[0])
+        if job is not None and not job.is_ended:
+            self._adopt(job, server, run)
+
+    def adopt_runs_of(self, job, message):
+        """Assign a former owner's runs and completed tasks to their resent job.
+
+        :param job: the job.
+        :param message: its :class:`SubmitJob`.
+        """
+        now_ms = self.context.now_ms
+        for left in message.runs_left:
+            until_ms = now_ms + message.runs_left_ms
+            self._left_run_by_name[left.task] = (left.server_id, now_ms, until_ms)
+            server = self.fleet.by_id.get(left.server_id)
+            if server is not None and server.ownership is Ownership.OWNED:
+                # The former owner may have taken it unnoticed, so it is asked again.
+                self.runs.lease_manager.poll_now(server)
+        finished_names = {*message.finished_tasks, *self._completed_ms_by_name}
+        for task in job.tasks:
+            if task.phase is not TaskPhase.WAITING:
+                continue
+            if task.name in finished_names:
+                if job.finish_task(task):
+                    self.jobs.complete(job)
+                    return
+                continue
+            server, run = self.runs.find_open(task.name)
+            if run is not None:
+                self._adopt(job, server, run)
+
+    def record_completion(self, name):
+        """Record that a task whose run a former owner started is done.
+
+        Its job may have been resubmitted already, or may be later.
+
+        :param name: name of the task.
+        """
+        self._completed_ms_by_name[name] = self.context.now_ms
+        job = self.jobs.by_id.get(name.partition(".")[0])
+        if job is None or job.is_ended:
+            return
+        for task in job.tasks:
+            if task.name == name and task.phase is TaskPhase.WAITING:
+                if job.finish_task(task):
+                    self.jobs.complete(job)
+                return
+
+    def remove_expired(self):
+        """Forget runs whose leases have expired, and old completions."""
+        now_ms = self.context.now_ms
+        for name, (_, _, until_ms) in list(self._left_run_by_name.items()):
+            if now_ms >= until_ms:
+                del self._left_run_by_name[name]
+        oldest_ms = now_ms - self.context.settings.ended_kept_ms
+        for name in list(self._completed_ms_by_name):
+            if self._completed_ms_by_name[name] > oldest_ms:
+                break
+            del self._completed_ms_by_name[name]
+
+    def _adopt(self, job, server, run):
+        task = next((t for t in job.tasks if t.name == run.name), None)
+        is_free = task is not None and task.phase is TaskPhase.WAITING
+        if not is_free or run.task is not None or run.phase is not RunPhase.RUNNING:
+            return
+        run.task = task
+        task.job.set_phase(task, TaskPhase.PLACED)
+        task.last_run_number = run.number
+        server.set_run_need(run, task.spec.need)
+        self.context.counters.n_adopted += 1
+        self.context.log(
+            LogCode.JOB_ADOPTED, task.name, server=server.id, percent=run.percent
+        )
+        self.context.post(ServersChanged())
--- a/buckthornshift/dispatch/_runs.py
+++ b/buckthornshift/dispatch/_runs.py
@@ -3,17 +3,16 @@
 from ._actions import LogCode, StartRun, StopRun
 from ._adaptive_timeout import AdaptiveTimeout
 from ._events import EndKind, StartAnswered, StopAnswered, Verdict
-from ._fleet import Ownership
 from ._internal_messages import (
     HousekeepingDue,
     InputDrained,
     RunReleased,
-    ServersChanged,
     StartOverdue,
     StopRetryDue,
 )
 from ._jobs import Run, RunPhase, TaskPhase
-from ._peer_messages import EndReason, RunLeft
+from ._peer_messages import EndReason
+from ._run_adoption import RunAdoption
 
 # Added to a task's run number when a server has already seen a higher one, which a
 # former owner assigned.
@@ -47,12 +46,8 @@
         self.lease_manager = None
         self.start_timeout = AdaptiveTimeout(max_ms=context.settings.call_timeout_ms)
         self._open_runs_by_name = {}
-        self._completed_ms_by_name = {}
-        self._lost_server_id_by_name = {}
-        # For runs that a former owner handed over: the server, when that was, and when
-        # their leases must have expired.
-        self._left_run_by_name = {}
         self._overdue_starts = []
+        self.adoption = RunAdoption(context=context, fleet=fleet, jobs=jobs, runs=self)
         jobs.runs = self
 
     def subscribe(self):
@@ -81,10 +76,11 @@
 
         :param name: name of the task.
         """
-        if name in self._open_runs_by_name or name in self._lost_server_id_by_name:
-            return True
-        _, _, until_ms = self._left_run_by_name.get(name, (None, 0.0, 0.0))
-        return self.context.now_ms < until_ms
+        return name in self._open_runs_by_name or self.adoption.may_run(name)
+
+    def find_open(self, name):
+        """Return the server and the open run of a task; both ``None`` without one."""
+        return self._open_runs_by_name.get(name, (None, None))
 
     def count_open(self, job):
         """Return how many runs of a job may still exist on servers."""
@@ -217,7 +213,7 @@
             self.stop(server, run)
 
     def on_housekeeping(self, message):
-        """Stop stalled runs and forget old completions."""
+        """Stop stalled runs and forget what is known of old runs."""
         context = self.context
         for server, run in list(self._open_runs_by_name.values()):
             stalled_ms = context.now_ms - run.progress_changed_ms
@@ -233,14 +229,7 @@
                 self._mark_suspect(server, "stalled")
                 run.task.avoided_server_ids.add(server.id)
                 self.stop(server, run)
-        for name, (_, _, until_ms) in list(self._left_run_by_name.items()):
-            if context.now_ms >= until_ms:
-                del self._left_run_by_name[name]
-        oldest_ms = context.now_ms - context.settings.ended_kept_ms
-        for name in list(self._completed_ms_by_name):
-            if self._completed_ms_by_name[name] > oldest_ms:
-                break
-            del self._completed_ms_by_name[name]
+        self.adoption.remove_expired()
 
     def reconcile_running(self, server, event):
         """Reconcile the runs that a server reports with those that are tracked.
@@ -252,7 +241,7 @@
         :param event: its :class:`RenewalAnswered`.
         """
         context = self.context
-        self._clear_left(server.id, event.sent_ms)
+        self.adoption.clear_left(server.id, event.sent_ms)
         listed_by_name = {running.task: running for running in event.running}
         for run in list(server.run_by_name.values()):
             running = listed_by_name.get(run.name)
@@ -284,12 +273,12 @@
         )
         if run is None or run.number != ended.run:
             if ended.kind is EndKind.DONE:
-                self._record_earlier_completion(ended.task)
+                self.adoption.record_completion(ended.task)
             return
         self._close_run(server, run)
         if run.task is None:
             if ended.kind is EndKind.DONE:
-                self._record_earlier_completion(ended.task)
+                self.adoption.record_completion(ended.task)
             return
         self._handle_end(server, run, ended.kind)
 
@@ -322,109 +311,22 @@
         """Stop tracking the runs of a server that another instance may own now."""
         for run in list(server.run_by_name.values()):
             self._close_run(server, run)
-            self._lost_server_id_by_name[run.name] = server.id
+            self.adoption.record_lost(run.name, server.id)
             if run.task is not None:
                 run.task.job.set_phase(run.task, TaskPhase.WAITING)
                 self.jobs.return_job(run.task.job)
 
-    def clear_lost(self, server_id):
-        """Forget the runs that were lost with a server.
-
-        Called once the server has reported its runs again, or has been removed.
-        """
-        for name, lost_id in list(self._lost_server_id_by_name.items()):
-            if lost_id == server_id:
-                del self._lost_server_id_by_name[name]
-        self._clear_left(server_id, self.context.now_ms)
-
-    def adopt_if_job_known(self, server, run):
-        """Track a run found at a takeover, and assign it to its job if known."""
+    def track_found(self, server, run):
+        """Track a run that a former owner started, found at a takeover."""
+        server.add_run(run)
         self._open_runs_by_name[run.name] = (server, run)
-        job = self.jobs.by_id.get(run.name.partition(".")[0])
-        if job is not None and not job.is_ended:
-            self._adopt(job, server, run)
-
-    def list_left(self, job):
-        """Return a :class:`RunLeft` of each run of a job that may not have ended."""
-        server_id_by_name = self._lost_server_id_by_name | {
-            name: left_run[0] for name, left_run in self._left_run_by_name.items()
-        }
-        for name, (server, _) in self._open_runs_by_name.items():
-            server_id_by_name[name] = server.id
-        return tuple(
-            RunLeft(task=task.name, server_id=server_id_by_name[task.name])
-            for task in job.tasks
-            if task.name in server_id_by_name
-        )
+        self.adoption.adopt_if_job_known(server, run)
 
     def leave_behind(self, server):
         """Stop tracking the runs of a server, which the next owner adopts."""
         for run in list(server.run_by_name.values()):
             self._close_run(server, run)
 
-    def adopt_runs_of(self, job, message):
-        """Assign a former owner's runs and completed tasks to their resent job.
-
-        :param job: the job.
-        :param message: its :class:`SubmitJob`.
-        """
-        now_ms = self.context.now_ms
-        for left in message.runs_left:
-            until_ms = now_ms + message.runs_left_ms
-            self._left_run_by_name[left.task] = (left.server_id, now_ms, until_ms)
-            server = self.fleet.by_id.get(left.server_id)
-            if server is not None and server.ownership is Ownership.OWNED:
-                # The former owner may have taken it unnoticed, so it is asked again.
-                self.lease_manager.poll_now(server)
-        finished_names = {*message.finished_tasks, *self._completed_ms_by_name}
-        for task in job.tasks:
-            if task.phase is not TaskPhase.WAITING:
-                continue
-            if task.name in finished_names:
-                if job.finish_task(task):
-                    self.jobs.complete(job)
-                    return
-                continue
-            server, run = self._open_runs_by_name.get(task.name, (None, None))
-            if run is not None:
-                self._adopt(job, server, run)
-
-    def _clear_left(self, server_id, asked_ms):
-        """Forget runs of a former owner that a server was asked about since then."""
-        for name, (left_id, since_ms, _) in list(self._left_run_by_name.items()):
-            if left_id == server_id and asked_ms >= since_ms:
-                del self._left_run_by_name[name]
-
-    def _record_earlier_completion(self, name):
-        """Record that a task whose run a former owner started is done.
-
-        Its job may have been resubmitted already, or may be later.
-        """
-        self._completed_ms_by_name[name] = self.context.now_ms
-        job = self.jobs.by_id.get(name.partition(".")[0])
-        if job is None or job.is_ended:
-            return
-        for task in job.tasks:
-            if task.name == name and task.phase is TaskPhase.WAITING:
-                if job.finish_task(task):
-                    self.jobs.complete(job)
-                return
-
-    def _adopt(self, job, server, run):
-        task = next((t for t in job.tasks if t.name == run.name), None)
-        is_free = task is not None and task.phase is TaskPhase.WAITING
-        if not is_free or run.task is not None or run.phase is not RunPhase.RUNNING:
-            return
-        run.task = task
-        task.job.set_phase(task, TaskPhase.PLACED)
-        task.last_run_number = run.number
-        server.set_run_need(run, task.spec.need)
-        self.context.counters.n_adopted += 1
-        self.context.log(
-            LogCode.JOB_ADOPTED, task.name, server=server.id, percent=run.percent
-        )
-        self.context.post(ServersChanged())
-
     def _is_confirmed_ended(self, run, event):
         if run.stop_acked_ms is None or event.sent_ms < run.stop_acked_ms:
             return False
