--- a/buckthornshift/dispatch/_fleet.py
+++ b/buckthornshift/dispatch/_fleet.py
@@ -50,7 +50,6 @@
     :param clock_offset_ms: the server's clock minus that of this instance, or ``None``.
     :param clock_read_ms: when the offset was measured.
     :param lease_expiry_ms: when the last lease granted has certainly expired.
-    :param former_lease_expiry_ms: the same for the leases granted before that one.
     :param renewal_sent_ms: when the renewal in flight was sent, or ``None``.
     :param poll_sent_ms: when a poll during that renewal was sent, or ``None``.
     :param newest_response_sent_ms: send time of the newest renewal or poll whose
@@ -80,7 +79,6 @@
     clock_offset_ms: float | None = None
     clock_read_ms: float = 0.0
     lease_expiry_ms: float = 0.0
-    former_lease_expiry_ms: float = 0.0
     renewal_sent_ms: float | None = None
     poll_sent_ms: float | None = None
     newest_response_sent_ms: float = -1.0
--- a/buckthornshift/dispatch/_leases.py
+++ b/buckthornshift/dispatch/_leases.py
@@ -237,20 +237,9 @@
         context = self.context
         settings = context.settings
         end_ms = context.now_ms + settings.max_lease_duration_ms
-        server.former_lease_expiry_ms = server.lease_expiry_ms
         server.lease_expiry_ms = max(server.lease_expiry_ms, end_ms)
         return int(context.now_ms + server.clock_offset_ms + settings.lease_ms)
 
-    def revoke_lease(self, server, sent_ms):
-        """Take back the latest lease, whose command was never sent.
-
-        :param server: the server.
-        :param sent_ms: when the command was to be sent.
-        """
-        end_ms = sent_ms + self.context.settings.max_lease_duration_ms
-        if server.lease_expiry_ms == end_ms:
-            server.lease_expiry_ms = server.former_lease_expiry_ms
-
     def on_renewal_answered(self, event):
         """Apply the response to a renewal, or to a poll sent during one."""
         server = self.fleet.by_id.get(event.server_id)
@@ -267,8 +256,6 @@
             return
         if event.token != server.token:
             return
-        if event.verdict is Verdict.NOT_SENT:
-            self.revoke_lease(server, event.sent_ms)
         match event.verdict:
             case Verdict.DONE:
                 self._apply_response(server, event)
@@ -432,7 +419,10 @@
                 LogCode.SERVER_UNREACHABLE, server.id, silent_ms=round(silent_ms)
             )
             context.post(ServersChanged())
-        is_lapsed = context.now_ms > server.lease_expiry_ms
+        is_lapsed = (
+            context.now_ms > server.lease_expiry_ms
+            and silent_ms > settings.rival_takeover_ms
+        )
         if not server.is_reachable and is_lapsed and not server.is_idle:
             self.runs.lose_all(server, "leases_expired")
         if server.ownership is Ownership.CLAIMING and not server.is_reachable:
--- a/buckthornshift/dispatch/_runs.py
+++ b/buckthornshift/dispatch/_runs.py
@@ -387,8 +387,6 @@
             return
         task.job.n_runs_started -= 1
         self._close_run(server, run)
-        if verdict is Verdict.NOT_SENT:
-            self.lease_manager.revoke_lease(server, run.sent_ms)
         match verdict:
             case Verdict.OLD_RUN:
                 task.last_run_number += RUN_NUMBER_STEP
--- a/buckthornshift/dispatch/_settings.py
+++ b/buckthornshift/dispatch/_settings.py
@@ -2,6 +2,9 @@
 
 import attrs
 
+# Longest time that a server takes to stop a run.
+MAX_STOP_DURATION_MS = 50.0
+
 
 @attrs.frozen(kw_only=True)
 class DispatchIdentity:
@@ -131,6 +134,18 @@
         stale_ms = self.lease_ms + self.clock_refresh_ms
         return self.lease_ms + self.clock_drift * stale_ms
 
+    @property
+    def rival_takeover_ms(self):
+        """Time from a server's last response until a rival has stopped its runs.
+
+        A rival that lost contact with the owner may still reach a server that the owner
+        can't. It claims the server, which renews the leases there, and stops the runs
+        whose jobs it doesn't get.
+        """
+        detection_ms = self.hold_wait_ms + self.lost_after_ms + self.beat_ms
+        claim_ms = self.election_wait_ms + self.beat_ms
+        return detection_ms + claim_ms + self.adopt_ms + MAX_STOP_DURATION_MS
+
     @property
     def resubmit_after_ms(self):
         """Time from the last message of an owner until none of its runs can be left.
