--- a/buckthornshift/dispatch/_crash_history.py
+++ b/buckthornshift/dispatch/_crash_history.py
@@ -7,7 +7,7 @@
 from ._internal_messages import HousekeepingDue
 from ._peer_messages import ServerLoss
 
-# Lost servers after which a task is given up.
+# Lost servers after which a task is not started again.
 MAX_CRASHES = 2
 # The same for all its lost servers, also those that failed together with others.
 MAX_LOSSES = 4
@@ -22,16 +22,23 @@
 
 @attrs.define(kw_only=True)
 class _Loss:
-    """Loss of a server, with the names of the tasks that may have caused it."""
+    """Loss of a server, with the names of the tasks that may have caused it.
+
+    It is confirmed once the server is known to be gone, not only out of reach.
+    """
 
     server_id: str = ""
     silent_since_ms: float = 0.0
+    is_confirmed: bool = False
     suspects: set = attrs.field(factory=set)
 
 
 class CrashHistory:
     """Tell which tasks are suspected of crashing servers, and which are given up.
 
+    A task that was given up may still be running, or may be done, on servers that are
+    only out of reach. It has failed once these are known to be gone.
+
     A loss is shared with the other instances, so that it counts for the next owner and
     for a resubmission of the job as well. Servers that fail together have a common
     cause, such as their rack, and count less.
@@ -61,10 +68,11 @@
     def on_received(self, event):
         """Add a loss that another instance observed."""
         match event.message:
-            case ServerLoss(server_id=server_id, tasks=tasks, age_ms=age_ms):
-                silent_since_ms = self.context.now_ms - age_ms
-                if not self._has_responded_since(server_id, silent_since_ms):
-                    self._add(server_id, tasks, silent_since_ms)
+            case ServerLoss() as message:
+                silent_since_ms = self.context.now_ms - message.age_ms
+                if not self._has_responded_since(message.server_id, silent_since_ms):
+                    loss = self._add(message.server_id, message.tasks, silent_since_ms)
+                    loss.is_confirmed = loss.is_confirmed or message.is_confirmed
 
     def on_peer_connected(self, event):
         """Send the losses to an instance that may have missed them."""
@@ -89,9 +97,19 @@
         loss = self._add(server.id, tasks, server.last_response_ms)
         if len(loss.suspects) == 1:
             self._clear_other_suspects(*loss.suspects)
-        for peer in self.membership.list_live():
-            if self.membership.is_hub(peer.address):
-                self._send(peer.address, loss)
+        self._share(loss)
+
+    def confirm(self, server_id):
+        """Record that a lost server is gone; return the tasks that have failed now.
+
+        :param server_id: id of the server.
+        """
+        loss = self._loss_by_server_id.get(server_id)
+        if loss is None or loss.is_confirmed:
+            return []
+        loss.is_confirmed = True
+        self._share(loss)
+        return sorted(task for task in loss.suspects if self.has_failed(task))
 
     def forget_server(self, server_id):
         """Forget the loss of a server, because it is old or the server responds."""
@@ -117,6 +135,13 @@
             return False
         return len(server_ids) >= MAX_LOSSES or self._count_crashes(task) >= MAX_CRASHES
 
+    def has_failed(self, task):
+        """Return whether a task was given up, and no run of it can have completed."""
+        return self.is_given_up(task) and all(
+            self._loss_by_server_id[server_id].is_confirmed
+            for server_id in self._server_ids_by_task[task]
+        )
+
     def list_lost_servers(self, task):
         """Return the ids of the servers that were lost under a task."""
         return sorted(self._server_ids_by_task.get(task, ()))
@@ -178,5 +203,11 @@
             server_id=loss.server_id,
             tasks=tuple(sorted(loss.suspects)),
             age_ms=self.context.now_ms - loss.silent_since_ms,
+            is_confirmed=loss.is_confirmed,
         )
         self.context.emit(SendToPeer(address=address, message=message))
+
+    def _share(self, loss):
+        for peer in self.membership.list_live():
+            if self.membership.is_hub(peer.address):
+                self._send(peer.address, loss)
--- a/buckthornshift/dispatch/_leases.py
+++ b/buckthornshift/dispatch/_leases.py
@@ -443,6 +443,7 @@
         server.is_replaced = True
         server.is_reachable = False
         self.runs.lose_all(server, "server_replaced")
+        self.runs.confirm_loss(server)
         self._remove_if_gone(server)
 
     def _remove_if_gone(self, server):
@@ -455,6 +456,7 @@
         is_lost = unlisted_ms >= context.settings.unlisted_grace_ms
         if is_gone or (is_lost and not server.is_reachable):
             self.fleet.remove(server)
+            self.runs.confirm_loss(server)
             self.runs.adoption.clear_lost(server.id)
             context.emit(DisconnectServer(server_id=server.id))
 
--- a/buckthornshift/dispatch/_owner_jobs.py
+++ b/buckthornshift/dispatch/_owner_jobs.py
@@ -222,9 +222,12 @@
             return
         job = self._build_job(message)
         job.submissions.append(submission)
-        if any(self.runs.crash_history.is_given_up(task.name) for task in job.tasks):
+        crash_history = self.runs.crash_history
+        if any(crash_history.has_failed(task.name) for task in job.tasks):
             self.fail(job, EndReason.ATTEMPTS_USED_UP)
             return
+        if any(crash_history.is_suspect(task.name) for task in job.tasks):
+            job.is_resent = True
         if not message.is_passed_on and job.job_id in self._redirect_by_id:
             # An earlier submission of the job may be running in that cell.
             self._redirect(job, submission, self._redirect_by_id[job.job_id][1])
--- a/buckthornshift/dispatch/_peer_messages.py
+++ b/buckthornshift/dispatch/_peer_messages.py
@@ -240,11 +240,13 @@
     :param server_id: id of the server.
     :param tasks: names of the tasks that may have crashed it.
     :param age_ms: time since the server last responded.
+    :param is_confirmed: whether the server is known to be gone, not only out of reach.
     """
 
     server_id: str = ""
     tasks: tuple[str, ...] = ()
     age_ms: float = 0.0
+    is_confirmed: bool = False
 
 
 @attrs.frozen(kw_only=True)
--- a/buckthornshift/dispatch/_scheduler.py
+++ b/buckthornshift/dispatch/_scheduler.py
@@ -105,6 +105,11 @@
     def _is_suspect(self, task):
         return self.runs.crash_history.is_suspect(task.name)
 
+    def _may_start_suspect(self, task):
+        is_given_up = self.runs.crash_history.is_given_up(task.name)
+        is_waiting = not is_given_up and not self.runs.is_open(task.name)
+        return is_waiting and self._is_suspect(task)
+
     def _start_suspects(self, jobs, candidates_by_service):
         """Start each task that may have crashed a server alone on an idle one.
 
@@ -114,7 +119,7 @@
         for job in jobs:
             candidates = candidates_by_service[job.queue.service]
             for task in list(job.waiting_by_name.values()):
-                if not self._is_suspect(task) or self.runs.is_open(task.name):
+                if not self._may_start_suspect(task):
                     continue
                 idle = [s for s in candidates.find_allowed(task) if s.is_idle]
                 server = self._choose_best(task, idle, candidates)
--- a/tests/proving/fleet/test_operators_failures.py
+++ b/tests/proving/fleet/test_operators_failures.py
@@ -68,6 +68,7 @@
         handle(self, server)
 
     monkeypatch.setattr(LeaseManager, "_handle_failed_renewal", forget_lease)
+    monkeypatch.setattr(DispatchSettings, "rival_takeover_ms", 0.0)
     assert FleetRule.ONE_RUN in find_violations([FleetFault.SERVER_PARTITION], 600.0)
 
 
