FIX A task that lost four servers to common failures is not started again either

Found by reading: is_suspect asked only for losses without a common cause, so that the scheduler started a task with four common losses, which is_given_up names, like any other. Test: test_task_that_lost_four_servers_to_common_failures_is_not_started_again (failed before).

--- a/buckthornshift/dispatch/_crash_history.py
+++ b/buckthornshift/dispatch/_crash_history.py
@@ -126,7 +126,9 @@
 
     def is_suspect(self, task):
         """Return whether a task may have crashed a server."""
-        return bool(self._server_ids_by_task) and self._count_crashes(task) > 0
+        if task not in self._server_ids_by_task:
+            return False
+        return self._count_crashes(task) > 0 or self.is_given_up(task)
 
     def is_given_up(self, task):
         """Return whether a task must not be started again."""
--- a/tests/dispatch/test_crash_history.py
+++ b/tests/dispatch/test_crash_history.py
@@ -293,3 +293,12 @@
     owner.poll(start.server.server_id)
     owner.receive(loss)
     assert not owner.history.is_suspect(start.task)
+
+
+def test_task_that_lost_four_servers_to_common_failures_is_not_started_again():
+    owner = Owner(n_servers=8)
+    task = f"{1:016x}.0.0.0"
+    for index in range(4):
+        owner.receive(ServerLoss(server_id=f"x{index}", tasks=(task,), age_ms=10.0))
+    assert owner.submit() == []
+    assert owner.history.is_suspect(task)
