FIX A request that waits in its socket at the exit is refused, not cut off

What callers saw: a connection that was reset without an answer while its instance stopped. Cause: once the core had stopped, the process closed every connection in the same pass of the event loop. A request that had arrived during a long pass was unread then, and closing a socket with unread data resets it. One that was read in between was accepted if the instance was idle, and its connection closed as well. Change: requests are still read for 100 ms after the core has stopped, and the core refuses them.

--- a/buckthornshift/dispatch/_shutdown.py
+++ b/buckthornshift/dispatch/_shutdown.py
@@ -67,6 +67,8 @@
                 n_requests=len(self.request_router.by_key),
                 after_ms=round(since_request_ms),
             )
+            # A request that is read until the sockets close is refused.
+            self.request_router.shutdown_deadline_ms = context.now_ms
             self.request_router.answer_all(EndReason.STOPPING)
             context.emit(Exit())
             return
--- a/buckthornshift/serving/_process.py
+++ b/buckthornshift/serving/_process.py
@@ -51,6 +51,9 @@
 # Interval of the event loop lag probe: short enough to follow a burst of load, long
 # enough to cost hardly any processor time.
 LAG_PROBE_INTERVAL_S = 0.05
+# Time after the core has stopped in which requests that wait in sockets are still read
+# and refused: a busy process may read them only then.
+FINAL_READ_S = 0.1
 # Delay before the sockets close, so that the last responses reach their callers.
 CLOSE_GRACE_S = 0.1
 
@@ -178,6 +181,7 @@
     async def wait(self):
         """Wait until the core has stopped, then close every socket."""
         await self._stopped.wait()
+        await asyncio.sleep(FINAL_READ_S)
         self._job_api.server.close()
         await asyncio.sleep(CLOSE_GRACE_S)
         self._readiness_server.close()
--- a/tests/serving/test_process.py
+++ b/tests/serving/test_process.py
@@ -157,6 +157,23 @@
     assert "KeyError" in failure.fields["detail"]
 
 
+def test_a_request_that_waits_in_its_socket_at_the_exit_is_answered():
+    """Closing a connection with unread data resets it without an answer."""
+
+    async def run():
+        process, _ = await start_process()
+        host, _, port = process.settings.callers.rpartition(":")
+        with socket.create_connection((host, int(port))) as sock:
+            await asyncio.sleep(0.05)
+            sock.sendall(b"POST /q/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n")
+            process._stopped.set()
+            await process.wait()
+            sock.settimeout(2.0)
+            return sock.recv(1_000)
+
+    assert asyncio.run(run()).startswith(b"HTTP/1.1 503 ")
+
+
 def reload(process, **changes):
     process.reload(lambda: attrs.evolve(process.settings, **changes))
 
