--- a/buckthornshift/proving/soak/_instances.py
+++ b/buckthornshift/proving/soak/_instances.py
@@ -7,11 +7,11 @@
 import json
 import os
 import signal
-import socket
 import sys
 
 import attrs
 
+from ._ports import find_free_ports
 from ._proxy import FaultyProxy
 
 RESTART_DELAY_S = 0.3
@@ -22,17 +22,6 @@
 MAX_PROXIED = 12
 
 
-def find_free_ports(n_ports):
-    """Return distinct TCP ports that are free on the loopback interface."""
-    sockets = [socket.socket() for _ in range(n_ports)]
-    for sock in sockets:
-        sock.bind(("127.0.0.1", 0))
-    ports = [sock.getsockname()[1] for sock in sockets]
-    for sock in sockets:
-        sock.close()
-    return ports
-
-
 @attrs.define(kw_only=True, eq=False)
 class Instance:
     """A dispatching instance with its ports, files and current process.
--- a/tests/links/test_http_links.py
+++ b/tests/links/test_http_links.py
@@ -84,7 +84,7 @@
             await send_request(pool, "GET", "/error")
         assert caught.value.status == 418
         with pytest.raises(ConnectionLostError):
-            await send_request(pool, "GET", "/never", timeout_s=0.1)
+            await send_request(pool, "GET", "/never", timeout_s=0.5)
         with pytest.raises(NotSentError):
             await send_request(HttpPool(port=find_closed_port()), "GET", "/hello")
         with pytest.raises(PortInUseError):
@@ -141,7 +141,7 @@
         instance_id="s", incarnation=incarnation, port=port or server.bound_port
     )
     link = BackendLink(
-        record=record, post_event=events.put_nowait, response_header_timeout_s=0.1
+        record=record, post_event=events.put_nowait, response_header_timeout_s=0.5
     )
     for make_action in action_factories:
         link.perform(make_action(record))
--- a/tests/proving/soak/test_proxy.py
+++ b/tests/proving/soak/test_proxy.py
@@ -24,7 +24,7 @@
     try:
         assert await pool.call("GET", "/first") == (200, b"hello")
         inject_fault(proxy)
-        return await pool.call("GET", "/second", timeout_s=0.3), received_paths
+        return await pool.call("GET", "/second", timeout_s=1.0), received_paths
     except ConnectionLostError:
         return None, received_paths
     finally:
--- a/tests/serving/test_http_client.py
+++ b/tests/serving/test_http_client.py
@@ -3,13 +3,14 @@
 import asyncio
 
 import pytest
+from waiting import TIMEOUT_S, wait_until
 
 from buckthornshift.contracts import ConnectionLostError, NotSentError
 from buckthornshift.serving._http_client import HttpConnectionPool
 from buckthornshift.serving._http_server import HttpServer
 
 
-async def call_server(handler, n_calls=1, timeout_s=0.2):
+async def call_server(handler, n_calls=1, timeout_s=TIMEOUT_S):
     server = HttpServer(handler=handler)
     port = await server.start("127.0.0.1", 0)
     pool = HttpConnectionPool(port=port)
@@ -30,7 +31,7 @@
 
 def test_a_timeout_raises_connection_lost():
     with pytest.raises(ConnectionLostError):
-        asyncio.run(call_server(lambda exchange: None))
+        asyncio.run(call_server(lambda exchange: None, timeout_s=0.2))
 
 
 def test_a_connection_is_reused():
@@ -63,7 +64,8 @@
         port = await server.start("127.0.0.1", 0)
         pool = HttpConnectionPool(port=port)
         with pytest.raises(ConnectionLostError):
-            await pool.call("GET", "/slow", timeout_s=0.05)
+            await pool.call("GET", "/slow", timeout_s=0.2)
+        await wait_until(lambda: slow_exchanges)
         slow_exchanges[0].respond(200, b"slow")
         result = await pool.call("GET", "/quick")
         pool.close()
@@ -138,7 +140,7 @@
         await asyncio.sleep(0)
         pool.close()
         await preconnecting
-        await asyncio.sleep(0.05)
+        await wait_until(lambda: lost)
         listener.close()
         return len(lost)
 
--- a/tests/serving/test_http_server.py
+++ b/tests/serving/test_http_server.py
@@ -3,12 +3,13 @@
 import asyncio
 
 import pytest
+from waiting import TIMEOUT_S, wait_until
 
 from buckthornshift.serving._http_client import HttpConnectionPool
 from buckthornshift.serving._http_server import HttpServer, RequestLimits
 
 LIMITS = RequestLimits(
-    max_head_bytes=2_000, max_body_bytes=5_000, head_timeout_s=0.2, idle_timeout_s=0.2
+    max_head_bytes=2_000, max_body_bytes=5_000, head_timeout_s=0.5, idle_timeout_s=0.5
 )
 
 
@@ -22,7 +23,7 @@
     port = await server.start("127.0.0.1", 0)
     reader, writer = await asyncio.open_connection("127.0.0.1", port)
     writer.write(data)
-    response = await asyncio.wait_for(reader.read(), 5.0)
+    response = await asyncio.wait_for(reader.read(), TIMEOUT_S)
     writer.close()
     server.close()
     return response
@@ -68,7 +69,10 @@
 def test_the_handler_is_notified_of_a_disconnect():
     disconnected_paths = []
 
+    requested_paths = []
+
     def never_respond(exchange):
+        requested_paths.append(exchange.request.path)
         exchange.on_disconnect = lambda: disconnected_paths.append(
             exchange.request.path
         )
@@ -78,9 +82,9 @@
         port = await server.start("127.0.0.1", 0)
         _, writer = await asyncio.open_connection("127.0.0.1", port)
         writer.write(b"GET /slow HTTP/1.1\r\n\r\n")
-        await asyncio.sleep(0.05)
+        await wait_until(lambda: requested_paths)
         writer.transport.abort()
-        await asyncio.sleep(0.05)
+        await wait_until(lambda: disconnected_paths)
         server.close()
 
     asyncio.run(disconnect())
--- a/tests/serving/test_peer_connections.py
+++ b/tests/serving/test_peer_connections.py
@@ -5,6 +5,7 @@
 from types import SimpleNamespace
 
 import pytest
+from waiting import TIMEOUT_S, wait_until
 
 from buckthornshift.dispatch import (
     DispatchIdentity,
@@ -29,10 +30,10 @@
     identity = DispatchIdentity(address="127.0.0.1:9", incarnation=7)
     connections = PeerConnections(identity=identity, post=events.append)
     connections.dial(f"127.0.0.1:{port}")
-    await asyncio.sleep(0.05)
+    await wait_until(lambda: events)
     for message in messages:
         connections.send(f"127.0.0.1:{port}", message)
-    await asyncio.sleep(0.05)
+    await wait_until(lambda: len(events) > len(messages))
     connections.close()
     server.close()
     return events, bad_frames
@@ -90,7 +91,7 @@
         reader, writer = await asyncio.open_connection("127.0.0.1", port)
         writer.write(data)
         try:
-            received = await asyncio.wait_for(reader.read(), 1.0)
+            received = await asyncio.wait_for(reader.read(), TIMEOUT_S)
         except ConnectionError:
             received = b""
         writer.close()
@@ -111,7 +112,7 @@
         _, writer = await asyncio.open_connection("127.0.0.1", port)
         writer.write(HANDSHAKE + make_frame(b"\x92\xa6Future\x80"))
         writer.write(make_frame(b"\x92\xa7DropJob\x81\xa3key\x05"))
-        await asyncio.sleep(0.05)
+        await wait_until(lambda: events)
         writer.close()
         server.close()
         return events
--- a/tests/serving/test_process.py
+++ b/tests/serving/test_process.py
@@ -7,6 +7,7 @@
 
 import attrs
 import pytest
+from waiting import TIMEOUT_S, wait_until
 
 from buckthornshift.dispatch import (
     CellClaim,
@@ -21,6 +22,7 @@
     StepSpec,
     SubmitJob,
 )
+from buckthornshift.proving.soak._ports import find_free_ports
 from buckthornshift.serving._peer_connections import PeerConnections
 from buckthornshift.serving._process import DispatcherProcess
 from buckthornshift.serving._settings import ServingSettings, parse_serving_settings
@@ -29,16 +31,12 @@
 SENDER = DispatchIdentity(address="127.0.0.1:9", incarnation=7)
 
 
-def find_free_address():
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{sock.getsockname()[1]}"
-
-
 async def start_process():
     """Start a process without a store or other instances; return it and its log."""
     names = ("callers", "readiness", "peers", "store", "metrics")
-    settings = ServingSettings(**{name: find_free_address() for name in names})
+    ports = find_free_ports(len(names))
+    addresses = [f"127.0.0.1:{port}" for port in ports]
+    settings = ServingSettings(**dict(zip(names, addresses, strict=True)))
     process = DispatcherProcess(settings=settings, random_state=random.Random(1))
     lines = []
     write_log = process.write_log
@@ -63,7 +61,7 @@
     host, _, port = address.rpartition(":")
     reader, writer = await asyncio.open_connection(host, int(port))
     writer.write(f"GET {path} HTTP/1.1\r\nHost: h\r\n\r\n".encode())
-    status_line = await asyncio.wait_for(reader.readline(), 2.0)
+    status_line = await asyncio.wait_for(reader.readline(), TIMEOUT_S)
     writer.close()
     return int(status_line.split()[1])
 
@@ -73,9 +71,8 @@
     settings = process.settings
     assert await get_status(settings.readiness, "/-/ready") == 503
     assert await get_status(settings.metrics, "/state") == 200
-    n_timers = process.core.context.now_ms
-    await asyncio.sleep(0.15)
-    assert process.core.context.now_ms > n_timers
+    before_ms = process.core.context.now_ms
+    await wait_until(lambda: process.core.context.now_ms > before_ms)
 
 
 MESSAGES = [
@@ -94,9 +91,10 @@
 def test_a_message_with_impossible_values_does_not_end_the_process(message):
     async def run():
         process, _ = await start_process()
-        connections = PeerConnections(identity=SENDER, post=lambda event: None)
+        events = []
+        connections = PeerConnections(identity=SENDER, post=events.append)
         connections.dial(process.settings.peers)
-        await asyncio.sleep(0.05)
+        await wait_until(lambda: events)
         connections.send(process.settings.peers, Heartbeat(sent_ms=0.5, echo_ms=0.0))
         connections.send(process.settings.peers, message)
         await asyncio.sleep(0.15)
@@ -164,7 +162,7 @@
         process, _ = await start_process()
         host, _, port = process.settings.callers.rpartition(":")
         with socket.create_connection((host, int(port))) as sock:
-            await asyncio.sleep(0.05)
+            await wait_until(lambda: process._job_api.server.connections)
             sock.sendall(b"POST /q/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n")
             process._stopped.set()
             await process.wait()
--- a/tests/standins/test_fleet_platform.py
+++ b/tests/standins/test_fleet_platform.py
@@ -39,7 +39,7 @@
     await platform.start()
     pool = HttpConnectionPool(port=platform.store.port)
     try:
-        return await use(platform, StoreClient(pool=pool, timeout_s=0.3))
+        return await use(platform, StoreClient(pool=pool, timeout_s=1.0))
     finally:
         pool.close()
         platform.close()
--- a/tools/profile_serving.py
+++ b/tools/profile_serving.py
@@ -18,7 +18,7 @@
 
 from buckthornshift.dispatch import Configuration, JobSpec, Queue, Resources, StepSpec
 from buckthornshift.platform._server_side import encode_job
-from buckthornshift.proving.soak._instances import find_free_ports
+from buckthornshift.proving.soak._ports import find_free_ports
 from buckthornshift.serving._http_client import HttpConnectionPool
 from buckthornshift.standins import FleetPlatform
 
