ENH Soak writes each violation to a file in the folder of the run

Each violation is now written at once to violations.json in the folder of the logs: invariant, detail, seconds since the start, and the time as in the logs. The table names the file of each seed with a violation. `violations` in the JSON output holds the same objects instead of texts.

The test with servers that begin every task twice reads the file.

--- a/buckthornshift/cli/_soak.py
+++ b/buckthornshift/cli/_soak.py
@@ -32,7 +32,8 @@
     """Run processes on loopback, kill, stop and pause them, and check invariants.
 
     The seed determines the jobs and the faults; process timing still varies between
-    runs. The folder of the logs is printed. Exit code 7 if an invariant was violated.
+    runs. The folder of the logs is printed; each violation is written there to
+    violations.json. Exit code 7 if an invariant was violated.
     """
     reports = []
     for seed in range(first_seed, first_seed + n_seeds):
--- a/buckthornshift/proving/fleet/_oracle.py
+++ b/buckthornshift/proving/fleet/_oracle.py
@@ -64,6 +64,7 @@
     def __init__(self, rule=None, detail=""):
         super().__init__(f"{rule}: {detail}")
         self.rule = rule
+        self.detail = detail
 
 
 @attrs.define(kw_only=True)
--- a/buckthornshift/proving/soak/_soak.py
+++ b/buckthornshift/proving/soak/_soak.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import tempfile
+import time
 
 from ...dispatch import Configuration, Queue
 from ...standins import FleetPlatform
@@ -11,7 +12,7 @@
 from ._fault_injector import SoakFaultInjector
 from ._instances import InstanceGroup
 from ._proxy import FaultyProxy
-from ._report import SoakReport
+from ._report import SoakReport, SoakViolation
 
 STARTUP_S = 2.5
 SETTLE_S = 3.0
@@ -60,6 +61,7 @@
         """Run the test to its end and return the :class:`SoakReport`."""
         folder = self.folder or tempfile.mkdtemp(prefix="buckthornshift-soak-")
         self.report = SoakReport(seed=self.seed, seconds=self.seconds, folder=folder)
+        self._started_s = time.monotonic()
         await self._start(folder)
         try:
             await asyncio.sleep(STARTUP_S)
@@ -147,11 +149,18 @@
         try:
             return function(*args)
         except FleetRuleError as error:
-            self.report.violations.append(str(error))
+            self._record_violation(error.rule, error.detail)
             return None
 
     def _record_violation(self, rule, detail):
-        self.report.violations.append(f"{rule}: {detail}")
+        self.report.record_violation(
+            SoakViolation(
+                invariant=rule.value,
+                detail=detail,
+                seconds=round(time.monotonic() - self._started_s, 3),
+                wall_ms=round(time.time() * 1000.0),
+            )
+        )
 
 
 class _Observer:
--- a/tests/proving/soak/test_soak.py
+++ b/tests/proving/soak/test_soak.py
@@ -1,8 +1,14 @@
 """Short soak tests of real processes; only invariants are checked, not timing."""
 
 import asyncio
+import json
 
-from buckthornshift.proving.soak import SoakReport, SoakTest, render_soak_table
+from buckthornshift.proving.soak import (
+    SoakReport,
+    SoakTest,
+    SoakViolation,
+    render_soak_table,
+)
 from buckthornshift.standins import TaskServerModel
 
 
@@ -25,7 +31,13 @@
     monkeypatch.setattr(TaskServerModel, "_begin", begin_twice)
     soak = SoakTest(seed=1, seconds=2.0, folder=str(tmp_path))
     report = asyncio.run(soak.run())
-    assert any("one_run" in violation for violation in report.violations)
+    assert "one_run" in {violation.invariant for violation in report.violations}
+    # Guards against a violation whose invariant is known only from the output.
+    written = json.loads((tmp_path / "violations.json").read_text())
+    assert len(written) == len(report.violations)
+    assert written[0]["invariant"] == report.violations[0].invariant
+    assert written[0]["detail"] and written[0]["seconds"] > 0.0
+    assert str(tmp_path) in render_soak_table([report])
 
 
 def test_soak_table_sums_all_reports():
@@ -43,7 +55,7 @@
             n_jobs=3,
             n_by_status={200: 3},
             n_by_fault={"kill": 1},
-            violations=["one_run: x"],
+            violations=[SoakViolation(invariant="one_run", detail="x")],
         ),
     ]
     table = render_soak_table(reports)
