FEA No task starts on servers of evacuated zones; instances spread the set

Operators need to empty a zone within seconds. The owner of a cell excludes servers of evacuated zones when it chooses servers, counts capacity and decides whether a job is feasible. The servers stay owned and their leases are renewed, so running tasks finish. Waiting jobs that no server can run any longer are refused at once or passed on to another cell.

Each instance keeps the newest set with the offset at which it was read. An instance whose heartbeat shows a lower version is sent the set, before a configuration, so that an owner without access to the store applies it and an instance that starts in an outage knows it before it can own servers. An empty set that was read where no evacuation is known has version 0, which is not sent.

--- a/buckthornshift/dispatch/__init__.py
+++ b/buckthornshift/dispatch/__init__.py
@@ -17,6 +17,7 @@
 from ._core import DispatchCore
 from ._declarations import (
     Configuration,
+    Evacuations,
     HttpLimits,
     JobSpec,
     Queue,
@@ -29,6 +30,7 @@
     ConfigurationRead,
     EndedTask,
     EndKind,
+    EvacuationsRead,
     InstancesFound,
     JobArrived,
     LagProbeDue,
@@ -50,6 +52,7 @@
     CellClaim,
     DropJob,
     EndReason,
+    EvacuationUpdate,
     Heartbeat,
     JobEnded,
     Outcome,
@@ -75,6 +78,9 @@
     "EndKind",
     "EndReason",
     "EndedTask",
+    "EvacuationUpdate",
+    "Evacuations",
+    "EvacuationsRead",
     "Exit",
     "Heartbeat",
     "HttpLimits",
--- a/buckthornshift/dispatch/_cells.py
+++ b/buckthornshift/dispatch/_cells.py
@@ -49,6 +49,7 @@
         self.settle_end_ms = None
         self.list_yielding_ids = lambda: ()
         self.count_waiting_cpu = lambda cell: 0
+        self.knows_evacuations = lambda: True
         self.elections = [self._make_election(0)]
         self._n_planned_cells = 1
         self._oversized_since_ms = None
@@ -167,6 +168,7 @@
             not context.is_stopping
             and context.configuration.version > 0
             and bool(self.fleet.by_id)
+            and self.knows_evacuations()
         )
 
     def is_settled(self):
--- a/buckthornshift/dispatch/_core.py
+++ b/buckthornshift/dispatch/_core.py
@@ -9,6 +9,7 @@
 from ._crash_history import CrashHistory
 from ._declarations import Configuration
 from ._duration_estimator import DurationEstimator
+from ._evacuation import EvacuationTracker
 from ._events import (
     ConfigurationRead,
     PeerMessageReceived,
@@ -31,7 +32,7 @@
 from ._load_shedding import LoadShedder
 from ._membership import Membership
 from ._owner_jobs import OwnerJobs
-from ._peer_messages import ConfigurationUpdate
+from ._peer_messages import ConfigurationUpdate, EvacuationUpdate
 from ._request_router import RequestRouter
 from ._runs import RunTracker
 from ._scheduler import TaskScheduler
@@ -123,6 +124,7 @@
             "is_stopping": context.is_stopping,
             "is_ready": self.is_ready(),
             "config_version": context.configuration.version,
+            "evacuations": attrs.asdict(self.evacuation_tracker.evacuations),
             "cells": [_dump_cell(e) for e in self.cells.elections],
             "n_requests": len(self.request_router.by_key),
             "n_jobs": len(self.jobs.by_id),
@@ -154,6 +156,13 @@
             admission=self.admission,
             duration_estimator=self.duration_estimator,
         )
+        self.evacuation_tracker = EvacuationTracker(
+            context=context,
+            fleet=self.fleet,
+            membership=self.membership,
+            cells=self.cells,
+            jobs=self.jobs,
+        )
         self.crash_history = CrashHistory(
             context=context,
             fleet=self.fleet,
@@ -211,6 +220,7 @@
         self._components = (
             self.membership,
             self.cells,
+            self.evacuation_tracker,
             self.list_follower,
             self.lease_manager,
             self.list_publisher,
@@ -244,8 +254,11 @@
         self.membership.introduce_again()
 
     def _on_peer_message(self, event):
-        if isinstance(event.message, ConfigurationUpdate):
-            self._apply_configuration(event.message.configuration, event.address)
+        match event.message:
+            case ConfigurationUpdate(configuration=configuration):
+                self._apply_configuration(configuration, event.address)
+            case EvacuationUpdate():
+                self.evacuation_tracker.on_update(event.message, event.address)
 
     def _on_stop(self, event):
         self.context.is_stopping = True
--- a/buckthornshift/dispatch/_declarations.py
+++ b/buckthornshift/dispatch/_declarations.py
@@ -113,6 +113,19 @@
         return max(matching, key=lambda queue: len(queue.path_prefix), default=None)
 
 
+@attrs.frozen(kw_only=True)
+class Evacuations:
+    """The availability zones in which operators allow no new task.
+
+    :param version: offset of the operators' topic at which the set was read; 0 where no
+        evacuation was ever known.
+    :param zones: the zones, in alphabetical order.
+    """
+
+    version: int = 0
+    zones: tuple[str, ...] = ()
+
+
 @attrs.frozen(kw_only=True)
 class ServerRecord:
     """Entry of a backend server in the platform's list.
--- a/buckthornshift/dispatch/_events.py
+++ b/buckthornshift/dispatch/_events.py
@@ -67,6 +67,20 @@
     configuration: Configuration = Configuration()
 
 
+@attrs.frozen(kw_only=True)
+class EvacuationsRead:
+    """The set of evacuated zones was read from the store.
+
+    It is posted before the configuration of the same read.
+
+    :param version: offset of the operators' topic at which the set was read.
+    :param zones: all evacuated zones.
+    """
+
+    version: int = 0
+    zones: tuple[str, ...] = ()
+
+
 @attrs.frozen(kw_only=True)
 class ServersRead:
     """The list of backend servers was read from the store.
--- a/buckthornshift/dispatch/_fleet.py
+++ b/buckthornshift/dispatch/_fleet.py
@@ -165,6 +165,7 @@
         self.context = context
         self.by_id = {}
         self.records = ()
+        self.evacuated_zones = frozenset()
         self._by_id_by_cell = [{}]
 
     def assign_cells(self, n_cells):
@@ -215,12 +216,17 @@
             if server.unlisted_since_ms is None
         ) % (2**HASH_BITS)
 
+    def is_evacuated(self, server):
+        """Return whether a server is in an evacuated zone and gets no new task."""
+        return server.record.zone in self.evacuated_zones
+
     def is_schedulable(self, server):
         """Return whether a server may get a new task, if its resources suffice."""
         return (
             server.ownership is Ownership.OWNED
             and server.is_reachable
             and not server.record.is_draining
+            and not self.is_evacuated(server)
             and server.n_unsized_runs == 0
             and server.n_isolated_runs == 0
             # A start would extend the lease of the run that is being stopped.
@@ -302,6 +308,7 @@
             and server.is_reachable
             and server.unlisted_since_ms is None
             and not server.record.is_draining
+            and not self.is_evacuated(server)
         )
 
     def count_free_slots(self, service, need_cpu, cell):
@@ -335,6 +342,7 @@
             and (server.ownership is Ownership.OWNED or self._is_being_claimed(server))
             and server.is_reachable
             and not server.record.is_draining
+            and not self.is_evacuated(server)
         )
 
     def count_free_cpu(self, cell):
@@ -352,11 +360,13 @@
         """Return whether some server of a cell is large enough for a step's tasks.
 
         The server must also have the required label. Servers that are draining, or
-        that have been unlisted for longer than the grace time, don't count.
+        that have been unlisted for longer than the grace time, don't count; neither do
+        those of evacuated zones.
         """
         return any(
             server.record.service == service
             and not server.record.is_draining
+            and not self.is_evacuated(server)
             and not server.is_replaced
             and self._is_listed(server)
             and server.record.capacity.covers(step.need)
@@ -369,6 +379,7 @@
             server.ownership is Ownership.CLAIMING
             and server.is_reachable
             and not server.record.is_draining
+            and not self.is_evacuated(server)
             and server.unlisted_since_ms is None
         )
 
--- a/buckthornshift/dispatch/_membership.py
+++ b/buckthornshift/dispatch/_membership.py
@@ -55,6 +55,8 @@
     :param n_unanswered_dials: dials since its last heartbeat, or since it was found.
     :param found_ms: when its address became known.
     :param config_sent_ms: when the configuration was last sent to it.
+    :param evacuations_sent_ms: when the evacuated zones were last sent to it.
+    :param evacuations_sent_version: the version that was sent then.
     :param is_live: whether it is in contact, as it confirmed a heartbeat recently.
     :param contact_number: sequence number of its last start of contact, among all
         instances.
@@ -74,6 +76,8 @@
     n_unanswered_dials: int = 0
     found_ms: float = 0.0
     config_sent_ms: float = -1e9
+    evacuations_sent_ms: float = -1e9
+    evacuations_sent_version: int = 0
     is_live: bool = False
     contact_number: int = 0
     introduced_ms: float | None = None
@@ -109,6 +113,8 @@
         self.is_owner = lambda: False
         self.has_all_owners = lambda: False
         self.get_lag_ms = lambda: 0.0
+        self.get_evacuation_version = lambda: 0
+        self.send_evacuations = lambda peer: None
         self._all_cells_owned = False
         self._hubs = None
         self._n_contacts = 0
@@ -161,7 +167,7 @@
         if peer is not None:
             # Messages sent before may have been lost with the former connection.
             peer.sent_contact_number = 0
-            peer.config_sent_ms = -1e9
+            peer.config_sent_ms = peer.evacuations_sent_ms = -1e9
             self._send_heartbeat(peer)
 
     def on_received(self, event):
@@ -250,6 +256,8 @@
                 peer.last_confirmation_ms = context.now_ms
         for address in heartbeat.addresses:
             self._add(address)
+        # An instance that gets its configuration here must know the evacuations then.
+        self.send_evacuations(peer)
         self._send_configuration(peer)
         self._update_liveness(peer)
 
@@ -401,6 +409,7 @@
             is_leaving=context.is_stopping,
             lag_ms=round(self.get_lag_ms(), 1),
             addresses=self._choose_addresses(peer),
+            evacuation_version=self.get_evacuation_version(),
             **(claims or self.describe_claims()),
         )
         context.emit(SendToPeer(address=peer.address, message=heartbeat))
--- a/buckthornshift/dispatch/_owner_jobs.py
+++ b/buckthornshift/dispatch/_owner_jobs.py
@@ -192,6 +192,19 @@
         )
         self._report_end(job, ended)
 
+    def pass_on(self, job, cell):
+        """Send a job that has not begun to another cell.
+
+        :param job: the job.
+        :param cell: number of the other cell.
+        """
+        job.is_ended = True
+        del self.by_id[job.job_id]
+        self.context.timers.cancel(self._deadline_timer_by_id.pop(job.job_id, None))
+        submissions, job.submissions = job.submissions, []
+        for submission in submissions:
+            self._redirect(job, submission, cell)
+
     def on_run_released(self, message):
         """Return a job to its senders if the run that ended was its last here."""
         job = self.by_id.get(message.job_id)
--- a/buckthornshift/dispatch/_peer_messages.py
+++ b/buckthornshift/dispatch/_peer_messages.py
@@ -53,6 +53,7 @@
     :param lag_ms: delay until it reads what has arrived at it.
     :param held_ids: servers with runs of a claim that it gave up.
     :param addresses: instances in contact with it that were not sent before.
+    :param evacuation_version: version of its :class:`Evacuations`.
     """
 
     sent_ms: float = 0.0
@@ -72,6 +73,7 @@
     lag_ms: float = 0.0
     held_ids: tuple[str, ...] = ()
     addresses: tuple[str, ...] = ()
+    evacuation_version: int = 0
     wire_name: ClassVar[str] = "Beat"
 
 
@@ -260,6 +262,18 @@
     wire_name: ClassVar[str] = "ConfigurationShared"
 
 
+@attrs.frozen(kw_only=True)
+class EvacuationUpdate:
+    """Evacuated zones, sent to an instance with a lower version of the set.
+
+    :param version: version of the sender's :class:`Evacuations`.
+    :param zones: all evacuated zones.
+    """
+
+    version: int = 0
+    zones: tuple[str, ...] = ()
+
+
 PEER_MESSAGES = (
     Heartbeat,
     SubmitJob,
@@ -269,4 +283,5 @@
     ServerHealthUpdate,
     ConfigurationUpdate,
     ServerLoss,
+    EvacuationUpdate,
 )
