FEA Evacuations of zones are read from the store with the configuration

The key evacuate/ZONE in the operators' topic evacuates a zone while it exists, whatever its document says. The watcher of the configuration reads it in the same calls: it posts the whole set, before the configuration, when it reads the newest records (at the start and after history was lost), and after that only when the set changes.

A value of the store that is not base64 is kept as it is instead of counting as empty, which stands for a deleted key.

--- a/buckthornshift/platform/__init__.py
+++ b/buckthornshift/platform/__init__.py
@@ -10,6 +10,11 @@
     decode_job,
     decode_server,
 )
+from ._evacuations import (
+    EVACUATION_DOCUMENT,
+    EvacuatedZones,
+    make_evacuation_key,
+)
 from ._job_responses import (
     DEADLINE_HEADER,
     encode_error,
@@ -44,12 +49,14 @@
     "CONFIGURATION_KEY",
     "CONFIGURATION_TOPIC",
     "DEADLINE_HEADER",
+    "EVACUATION_DOCUMENT",
     "INCARNATION_HEADER",
     "INSTANCES_TOPIC",
     "LEASE_RENEWAL_PATH",
     "SERVERS_TOPIC",
     "START_PATH",
     "STOP_PATH",
+    "EvacuatedZones",
     "HistoryGoneError",
     "JobSubmission",
     "KeyedBatch",
@@ -69,4 +76,5 @@
     "encode_start",
     "encode_state",
     "encode_stop",
+    "make_evacuation_key",
 ]
--- a/buckthornshift/platform/_store.py
+++ b/buckthornshift/platform/_store.py
@@ -19,6 +19,7 @@
 # Topic of this project, in which each instance publishes its address.
 INSTANCES_TOPIC = "keyed.instances"
 CONFIGURATION_KEY = "config"
+MAX_KEY_BYTES = 255
 
 _TAIL_HEADER = struct.Struct(">QQ")
 _LENGTH_PREFIX = struct.Struct(">I")
@@ -149,7 +150,7 @@
         """Append a record with a key.
 
         :param topic: name of the topic.
-        :param key: key, at most 255 bytes in UTF-8.
+        :param key: key, at most ``MAX_KEY_BYTES`` in UTF-8.
         :param value: value, in bytes.
         :raises StoreError: if the call failed; the record may have been appended
             nevertheless.
@@ -187,7 +188,8 @@
     try:
         value = base64.b64decode(item.value, validate=True)
     except ValueError:
-        value = b""
+        # An empty value would stand for a deleted key.
+        value = item.value.encode()
     return KeyedRecord(key=item.key, value=value)
 
 
--- a/buckthornshift/serving/_store_watcher.py
+++ b/buckthornshift/serving/_store_watcher.py
@@ -1,10 +1,11 @@
-"""Watch the platform's store: configuration, backend servers, other instances."""
+"""Watch the platform's store: what operators declare, servers, other instances."""
 
 import asyncio
 import contextlib
 
 from ..dispatch import (
     ConfigurationRead,
+    EvacuationsRead,
     InstancesFound,
     LogCode,
     LogLine,
@@ -15,6 +16,7 @@
     CONFIGURATION_TOPIC,
     INSTANCES_TOPIC,
     SERVERS_TOPIC,
+    EvacuatedZones,
     HistoryGoneError,
     StoreError,
     UnreadableError,
@@ -24,7 +26,8 @@
 
 # Long-poll wait. A configuration must be in force 2 s after the store acknowledged it,
 # even if the connection has gone silent, so this wait and the timeout of one call
-# together must stay below 2 s.
+# together must stay below 2 s. Evacuations are read with it; they must be in force
+# after 5 s.
 CONFIGURATION_WAIT_MS = 1_000
 # Polling interval of the server list. A server that leaves must get no more work 2 s
 # after the store recorded it.
@@ -78,20 +81,27 @@
     async def _watch_configuration(self):
         while True:
             with contextlib.suppress(HistoryGoneError):
-                offset = await self._read_latest_configuration()
-                await self._tail_configuration(offset)
+                zones = EvacuatedZones()
+                offset = await self._read_latest_configuration(zones)
+                await self._tail_configuration(zones, offset)
 
-    async def _read_latest_configuration(self):
+    async def _read_latest_configuration(self, zones):
         batch = await self._retry(CONFIGURATION_TOPIC, self._read_newest)
+        zones.apply(batch)
+        # An instance that has a configuration may own servers, so it must know the
+        # evacuated zones before.
+        self._post_evacuations(zones, batch)
         self._post_configuration(batch)
         return batch.next_offset
 
-    async def _tail_configuration(self, offset):
+    async def _tail_configuration(self, zones, offset):
         async def read(topic):
             return await self.client.read_tail(topic, offset, CONFIGURATION_WAIT_MS)
 
         while True:
             batch = await self._retry(CONFIGURATION_TOPIC, read)
+            if zones.apply(batch):
+                self._post_evacuations(zones, batch)
             self._post_configuration(batch)
             offset = batch.next_offset
 
@@ -164,6 +174,9 @@
             fields = {"after": kind}
             self.log(LogLine(code=LogCode.STORE_BACK, subject=topic, fields=fields))
 
+    def _post_evacuations(self, zones, batch):
+        self.post(EvacuationsRead(version=batch.next_offset, zones=zones.list()))
+
     def _post_configuration(self, batch):
         for record in batch.records:
             if record.key != CONFIGURATION_KEY or not record.value:
--- /dev/null
+++ b/tests/serving/test_store_watcher.py
@@ -0,0 +1,128 @@
+"""The watcher follows evacuations and configuration in the operators' topic."""
+
+import asyncio
+
+from buckthornshift.dispatch import Configuration, ConfigurationRead, EvacuationsRead
+from buckthornshift.platform import CONFIGURATION_TOPIC, StoreClient
+from buckthornshift.platform._server_side import encode_configuration
+from buckthornshift.serving._http_client import HttpConnectionPool
+from buckthornshift.serving._store_watcher import StoreWatcher
+from buckthornshift.standins._fleet_platform import StoreStandin
+
+MAX_WAIT_S = 2.0
+
+
+class WatchedStore:
+    """A store on loopback and a watcher of it, whose events are recorded."""
+
+    def __init__(self):
+        self.store = StoreStandin()
+        self.events = []
+
+    async def start(self):
+        await self.store.start()
+        self.put_configuration(1)
+        self.put("evacuate/z0")
+        self.pool = HttpConnectionPool(port=self.store.port)
+        self.watcher = StoreWatcher(
+            client=StoreClient(pool=self.pool, timeout_s=0.3),
+            address="127.0.0.1:9",
+            post=self.events.append,
+            log=lambda line: None,
+        )
+        self.watcher.start()
+
+    def put(self, key, value=b"{}"):
+        self.store.put(CONFIGURATION_TOPIC, key, value)
+
+    def put_configuration(self, version):
+        body = encode_configuration(Configuration(version=version))
+        self.put("config", body)
+
+    def list_evacuations(self):
+        return [e for e in self.events if isinstance(e, EvacuationsRead)]
+
+    async def wait_for_zones(self, *zones):
+        async with asyncio.timeout(MAX_WAIT_S):
+            while [e.zones for e in self.list_evacuations()][-1:] != [zones]:
+                await asyncio.sleep(0.01)
+
+    async def wait_for_configuration(self, version):
+        event = ConfigurationRead(configuration=Configuration(version=version))
+        async with asyncio.timeout(MAX_WAIT_S):
+            while event not in self.events:
+                await asyncio.sleep(0.01)
+
+    def close(self):
+        self.watcher.close()
+        self.pool.close()
+        self.store.close()
+
+
+def run_with_store(use):
+    async def run():
+        watched = WatchedStore()
+        await watched.start()
+        try:
+            await watched.wait_for_zones("z0")
+            await use(watched)
+        finally:
+            watched.close()
+        return watched
+
+    return asyncio.run(run())
+
+
+def test_evacuations_are_known_before_the_configuration():
+    """An instance with a configuration may own servers and start tasks."""
+
+    async def use(watched):
+        await watched.wait_for_configuration(1)
+
+    watched = run_with_store(use)
+    classes = [type(event) for event in watched.events]
+    assert classes.index(EvacuationsRead) < classes.index(ConfigurationRead)
+
+
+def test_changes_are_read_and_only_they_raise_the_version():
+    async def use(watched):
+        watched.put_configuration(2)
+        await watched.wait_for_configuration(2)
+        watched.put("evacuate/z1", b"not JSON")
+        await watched.wait_for_zones("z0", "z1")
+        watched.put("evacuate/z0", b"")
+        await watched.wait_for_zones("z1")
+
+    versions = [event.version for event in run_with_store(use).list_evacuations()]
+    assert versions == [2, 4, 5]
+
+
+def test_zone_that_is_evacuated_and_released_twice_ends_released():
+    async def use(watched):
+        for _ in range(2):
+            watched.put("evacuate/z1")
+            await asyncio.sleep(0.02)
+            watched.put("evacuate/z1", b"")
+            await asyncio.sleep(0.02)
+        watched.put_configuration(2)
+        await watched.wait_for_configuration(2)
+        await watched.wait_for_zones("z0")
+
+    events = run_with_store(use).list_evacuations()
+    assert [e.version for e in events] == sorted({e.version for e in events})
+
+
+def test_whole_set_is_read_again_after_history_was_lost():
+    """The record that ended an evacuation may be gone when the store is back."""
+
+    async def use(watched):
+        await watched.wait_for_configuration(1)
+        # The waiting read gets this record alone; the next one is too late.
+        watched.put_configuration(2)
+        watched.put("evacuate/z0", b"")
+        watched.put("evacuate/z1")
+        watched.store.forget_history()
+        await watched.wait_for_zones("z1")
+
+    events = run_with_store(use).list_evacuations()
+    assert [event.version for event in events] == [2, 5]
