TST Randomised runs evacuate zones; the oracle checks that no task starts there

The fault `evacuation` of `fuzz --on fleet` evacuates a zone, or one without servers, for up to 4 s. The rule `evacuated` states that an instance that reads the store, or is connected to one that does, starts no task in the zone 1.5 s after the store had the evacuation; lost contact restarts the 1.5 s. Starting tasks in evacuated zones violates the rule, and so does an owner cut off from the store that is told nothing.

The new kind changes which faults are drawn when no kinds are given.

--- a/buckthornshift/proving/fleet/_faults.py
+++ b/buckthornshift/proving/fleet/_faults.py
@@ -132,6 +132,11 @@
                 self._schedule_end(fault, setattr, self.callers, "crash_probability", 0)
             case FleetFault.CONFIG_CHANGE:
                 world.change_configuration()
+            case FleetFault.EVACUATION:
+                # The last number is that of a zone without servers.
+                zone = f"zone-{fault.target % (world.plan.n_zones + 1)}"
+                world.evacuate(zone)
+                self._schedule_end(fault, world.evacuate, zone, False)
             case FleetFault.CLOCK_STEP:
                 world.clock_step_ms_by_instance[instance.name] = -CLOCK_STEP_MS
                 self._schedule_end(
--- a/buckthornshift/proving/fleet/_machines.py
+++ b/buckthornshift/proving/fleet/_machines.py
@@ -22,6 +22,7 @@
     :param is_stopping: whether the process was asked to stop.
     :param event_delay_ms: delay of each event except timers, on a slow machine.
     :param is_watching_servers: whether it polls the list of servers in the store.
+    :param evacuation_version: version of the evacuations that its process last read.
     :param wake_up_ms: when its next timer is due; ``None`` if none is set.
     :param callers: pending requests by caller reference.
     """
@@ -36,6 +37,7 @@
     is_stopping: bool = False
     event_delay_ms: float = 0.0
     is_watching_servers: bool = False
+    evacuation_version: int = 0
     wake_up_ms: float | None = None
     callers: dict = attrs.field(factory=dict)
 
--- a/buckthornshift/proving/fleet/_network.py
+++ b/buckthornshift/proving/fleet/_network.py
@@ -77,6 +77,15 @@
             return True
         return not {source.zone, target.zone} & faults.isolated_zones
 
+    def are_connected(self, instance, other):
+        """Return whether open links carry messages between two instances both ways."""
+        return all(
+            self._link_by_pair.get((source.key, target.name)) == target.key
+            and self.can_reach(source, target)
+            and source.name not in self.faults.full_links
+            for source, target in ((instance, other), (other, instance))
+        )
+
     def silence_links(self, share):
         """Make open peer links drop every message from now on, without closing them.
 
--- a/buckthornshift/proving/fleet/_oracle.py
+++ b/buckthornshift/proving/fleet/_oracle.py
@@ -25,6 +25,8 @@
     - ``CAPACITY``: the tasks on a server never need more than it has.
     - ``ONE_RUN``: a task never runs on two servers at the same time.
     - ``DRAINING``: no task starts on a server that has been draining for long.
+    - ``EVACUATED``: an instance that can know that a zone has been evacuated for long
+      starts no task there.
     - ``RIGHT_SERVER``: a server has the service and the label that a task requires.
     - ``ASKED``: a server runs only jobs that were submitted, with their payload.
     - ``NOT_RUN_IS_TRUE``: no task of a job that is answered "not run" has started.
@@ -42,6 +44,7 @@
     CAPACITY = "capacity"
     ONE_RUN = "one_run"
     DRAINING = "draining"
+    EVACUATED = "evacuated"
     RIGHT_SERVER = "right_server"
     ASKED = "asked"
     NOT_RUN_IS_TRUE = "not_run_is_true"
@@ -183,6 +186,15 @@
         self._check_capacity(server, run, observed)
         self._check_placement(server, run, observed)
 
+    def check_start_command(self, instance, command):
+        """Check that an instance may send a start command to a server's zone."""
+        zone = command.server.zone
+        if self.world.evacuation_watch.must_know(instance, zone):
+            self._raise_violation(
+                FleetRule.EVACUATED,
+                f"{instance.name} starts {command.task} in {zone}",
+            )
+
     def record_crash(self, server):
         """Record that a server crashes under the tasks that run on it."""
         for task in server.run_by_task:
--- a/buckthornshift/proving/fleet/_plan.py
+++ b/buckthornshift/proving/fleet/_plan.py
@@ -27,6 +27,7 @@
     - ``CALLERS_DISCONNECT`` makes callers disconnect early; ``BURST`` raises the rate
       of jobs. ``TASKS_CRASH_SERVERS`` makes some jobs contain a task that crashes
       every server that starts it.
+    - ``EVACUATION`` evacuates a zone, or one without servers, for a while.
     - ``CONFIG_CHANGE`` publishes a configuration; ``CLOCK_STEP`` sets the wall clock
       of an instance back.
     """
@@ -62,6 +63,7 @@
     TASKS_CRASH_SERVERS = "tasks_crash_servers"
     CONFIG_CHANGE = "config_change"
     CLOCK_STEP = "clock_step"
+    EVACUATION = "evacuation"
 
 
 @attrs.frozen(kw_only=True)
--- a/buckthornshift/proving/fleet/_world.py
+++ b/buckthornshift/proving/fleet/_world.py
@@ -10,6 +10,8 @@
     ConfigurationRead,
     DispatchCore,
     DispatchIdentity,
+    Evacuations,
+    EvacuationsRead,
     Exit,
     InstancesFound,
     LagProbeDue,
@@ -27,6 +29,7 @@
 )
 from ...standins import TaskServerModel
 from .._clock import VirtualClock
+from ._evacuation_watch import EvacuationWatch
 from ._machines import SimulatedInstance, SimulatedServer
 from ._network import FleetNetwork
 from ._oracle import FleetOracle
@@ -62,12 +65,16 @@
         self.network = FleetNetwork(world=self)
         self.oracle = FleetOracle(world=self)
         self.observer = self.oracle
+        self.evacuation_watch = EvacuationWatch(world=self)
         self.instances = [
             SimulatedInstance(name=f"n{i}:1", zone=self._get_zone(i))
             for i in range(plan.n_instances)
         ]
         self.servers_by_id = {}
         self.configuration = self._make_configuration(1)
+        self.evacuations = Evacuations()
+        # Offset of the next record of operators; the configuration is the first.
+        self._operators_offset = 1
         self.is_store_down = False
         self.last_outage_end_ms = 0.0
         self.instances_without_store = set()
@@ -172,6 +179,7 @@
             return
         instance.incarnation = self.random_state.getrandbits(INCARNATION_BITS)
         instance.is_frozen = instance.is_stopping = instance.is_watching_servers = False
+        instance.evacuation_version = 0
         (
             instance.deferred_events,
             instance.callers,
@@ -274,6 +282,25 @@
     def change_configuration(self):
         """Publish a new version of the configuration, as an operator does."""
         self.configuration = self._make_configuration(self.configuration.version + 3)
+        self._operators_offset += 1
+
+    def evacuate(self, zone, is_on=True):
+        """Start or end the evacuation of a zone, as an operator does.
+
+        :param zone: name of the zone; no server needs to be there.
+        :param is_on: whether the zone is evacuated from now on.
+        """
+        self._operators_offset += 1
+        zones = set(self.evacuations.zones) - {zone} | ({zone} if is_on else set())
+        self.evacuations = Evacuations(
+            version=self._operators_offset, zones=tuple(sorted(zones))
+        )
+        self.evacuation_watch.record_change(zones)
+
+    def can_read_store(self, instance):
+        """Return whether an instance runs and can read the store."""
+        is_cut = instance.name in self.instances_without_store
+        return not (self.is_store_down or is_cut or instance.is_frozen)
 
     def schedule_server_events(self, server):
         """Schedule the time at which the next run on a server ends."""
@@ -362,6 +389,8 @@
             case ReconnectPeer(address=address):
                 self.network.dial(instance, address)
             case StartRun() | StopRun() | RenewLease():
+                if isinstance(action, StartRun):
+                    self.oracle.check_start_command(instance, action)
                 self.network.send_command(instance, action)
             case AnswerCaller():
                 self.on_answer(instance, action)
@@ -417,7 +446,8 @@
     def _poll_store(self, instance, key):
         if instance.core is None or instance.key != key:
             return
-        if self._can_read_store(instance):
+        if self.can_read_store(instance):
+            self._read_evacuations(instance, key)
             event = ConfigurationRead(configuration=self.configuration)
             self.clock.schedule(STORE_DELAY_MS, self.deliver, instance, key, event)
             if instance.is_watching_servers or not instance.core.fleet.by_id:
@@ -425,8 +455,19 @@
                 self.clock.schedule(STORE_DELAY_MS, self.deliver, instance, key, event)
         self.clock.schedule(STORE_POLL_INTERVAL_MS, self._poll_store, instance, key)
 
+    def _read_evacuations(self, instance, key):
+        """Deliver the evacuations of the first read, and then only changes."""
+        version = self.evacuations.version
+        if instance.evacuation_version == 0:
+            version = self._operators_offset
+        if version <= instance.evacuation_version:
+            return
+        instance.evacuation_version = version
+        event = EvacuationsRead(version=version, zones=self.evacuations.zones)
+        self.clock.schedule(STORE_DELAY_MS, self.deliver, instance, key, event)
+
     def _read_instance_list(self, instance, key):
-        if not self._can_read_store(instance):
+        if not self.can_read_store(instance):
             self.clock.schedule(
                 STORE_POLL_INTERVAL_MS, self._read_instance_list, instance, key
             )
@@ -435,10 +476,6 @@
         event = InstancesFound(addresses=addresses, is_complete=True)
         self.clock.schedule(STORE_DELAY_MS, self.deliver, instance, key, event)
 
-    def _can_read_store(self, instance):
-        is_cut = instance.name in self.instances_without_store
-        return not (self.is_store_down or is_cut or instance.is_frozen)
-
     def _list_servers(self):
         return tuple(s.record for s in self.servers_by_id.values() if s.is_listed)
 
--- a/tests/proving/fleet/test_fleet_mutations.py
+++ b/tests/proving/fleet/test_fleet_mutations.py
@@ -213,7 +213,13 @@
     monkeypatch.setattr(Server, "update_record", update_all_but_capacity)
 
 
+def start_in_evacuated_zones(monkeypatch):
+    """Start tasks on servers of evacuated zones."""
+    monkeypatch.setattr(Fleet, "is_evacuated", lambda self, server: False)
+
+
 MUTATIONS = [
+    (start_in_evacuated_zones, FleetRule.EVACUATED, [FleetFault.EVACUATION]),
     (ignore_reduced_capacity, FleetRule.CAPACITY, [FleetFault.SERVER_SHRINKS]),
     (forget_lost_runs, FleetRule.BUDGET, [FleetFault.TASKS_CRASH_SERVERS]),
     (ignore_capacity, FleetRule.CAPACITY, [FleetFault.BURST]),
