TST Instances that start in an outage of the store learn evacuations from others

A rolling stop and four crashes of the owner during an outage of the store, with the rule `evacuated` applied to every instance. Without the messages the test detects starts in the evacuated zone.

--- a/tests/proving/fleet/test_evacuation_runs.py
+++ b/tests/proving/fleet/test_evacuation_runs.py
@@ -11,6 +11,7 @@
     run_fleet_plan,
     run_fleet_seed,
 )
+from buckthornshift.proving.fleet._evacuation_watch import EvacuationWatch
 
 N_INSTANCES = 5
 CUT_MS = 2_500.0
@@ -71,3 +72,34 @@
     for seed in range(6):
         result = run_fleet_seed(seed, kinds=[FleetFault.EVACUATION], n_faults=14)
         assert result.violation is None, result.detail
+
+
+def run_restarts_in_an_outage(monkeypatch, seed):
+    """Restart all instances and owners while the store is away; count them all."""
+    monkeypatch.setattr(EvacuationWatch, "_can_know", lambda self, instance: True)
+    kinds = [FleetFault.ROLLING_STOP] + 4 * [FleetFault.OWNER_CRASH]
+    faults = [
+        PlannedFault(
+            kind=FleetFault.EVACUATION, start_ms=2_000.0, length_ms=9_000.0, target=seed
+        ),
+        PlannedFault(kind=FleetFault.STORE_OUTAGE, start_ms=4_000.0, length_ms=6_000.0),
+    ]
+    faults += [
+        PlannedFault(kind=kind, start_ms=4_200.0 + 700.0 * index)
+        for index, kind in enumerate(kinds)
+    ]
+    plan = FleetPlan(seed=seed, jobs_per_s=30.0, faults=tuple(faults))
+    return run_fleet_plan(plan)
+
+
+def test_instances_that_start_in_an_outage_learn_the_set_from_others(monkeypatch):
+    for seed in range(3):
+        result = run_restarts_in_an_outage(monkeypatch, seed)
+        assert result.violation is None, result.detail
+
+
+def test_instances_that_start_without_the_set_are_detected(monkeypatch):
+    monkeypatch.setattr(EvacuationTracker, "send_if_behind", lambda self, peer: None)
+    monkeypatch.setattr(EvacuationTracker, "is_known", lambda self: True)
+    results = [run_restarts_in_an_outage(monkeypatch, seed) for seed in range(3)]
+    assert FleetRule.EVACUATED in {result.violation for result in results}
