FEA Commands start, end and list evacuations; metric and state show them

`buckthornshift evacuation start ZONE`, `end ZONE` and `list` write and read the keys in the store. The gauge evacuated_zones and the state dump of each instance show the set in force, which operators compare between instances.

--- a/buckthornshift/cli/_main.py
+++ b/buckthornshift/cli/_main.py
@@ -17,6 +17,7 @@
     "demo": "_demo",
     "fuzz": "_fuzz",
     "soak": "_soak",
+    "evacuation": "_evacuation",
     "load": "_load",
 }
 
--- a/buckthornshift/serving/_metrics.py
+++ b/buckthornshift/serving/_metrics.py
@@ -26,6 +26,7 @@
     "cells": "Cells that the servers are divided into.",
     "ready": "Whether callers should be sent here (1) or not (0).",
     "message_wait_ms": "How long what arrives at this instance waits to be read.",
+    "evacuated_zones": "Zones in which operators allow no new task.",
     "log_lines_dropped": "Lines that the log could not take.",
 }
 
@@ -105,4 +106,5 @@
         "cells": core.cells.n_cells,
         "ready": int(core.is_ready()),
         "message_wait_ms": core.load_shedder.lag_ms,
+        "evacuated_zones": len(core.evacuation_tracker.evacuations.zones),
     }
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -26,6 +26,7 @@
         "demo",
         "fuzz",
         "soak",
+        "evacuation",
     ],
 )
 def test_every_command_has_help(command):
--- a/tests/serving/test_process.py
+++ b/tests/serving/test_process.py
@@ -11,6 +11,7 @@
 from buckthornshift.dispatch import (
     CellClaim,
     DispatchIdentity,
+    EvacuationsRead,
     Heartbeat,
     JobEnded,
     JobSpec,
@@ -174,6 +175,35 @@
     assert asyncio.run(run()).startswith(b"HTTP/1.1 503 ")
 
 
+async def get_body(address, path):
+    host, _, port = address.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(
+        f"GET {path} HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n".encode()
+    )
+    body = await asyncio.wait_for(reader.read(), 2.0)
+    writer.close()
+    return body
+
+
+def test_evacuated_zones_are_in_the_metrics_and_the_state():
+    """Operators compare them between instances before they empty a zone."""
+
+    async def run():
+        process, lines = await start_process()
+        process.post(EvacuationsRead(version=7, zones=("hall-2", "hall-1")))
+        metrics = await get_body(process.settings.metrics, "/metrics")
+        state = await get_body(process.settings.metrics, "/state")
+        process._stopped.set()
+        await process.wait()
+        return metrics, state, [line.code for line in lines]
+
+    metrics, state, codes = asyncio.run(run())
+    assert b"\nbuckthornshift_evacuated_zones 2.0\n" in metrics
+    assert b'"evacuations":{"version":7,"zones":["hall-1","hall-2"]}' in state
+    assert LogCode.EVACUATION_CHANGED in codes
+
+
 def reload(process, **changes):
     process.reload(lambda: attrs.evolve(process.settings, **changes))
 
