ENH Whether a server is evacuated is stored with it

Every scheduling pass and every admission asked for each server whether its zone is in the set. The answer is now stored with the server and changes with the set or the server's entry.

Measured, 176 servers, best of 25 repeats, three runs, before the feature / with a look-up / stored: iter_schedulable 112 to 113 / 117 to 121 / 116 us; can_ever_run without a match 42 to 43 / 51 to 52 / 44 to 45 us. Later runs of iter_schedulable were disturbed by other load on the machine.

--- a/buckthornshift/dispatch/_evacuation.py
+++ b/buckthornshift/dispatch/_evacuation.py
@@ -53,7 +53,7 @@
         if event.version <= self._read_version:
             return
         self._read_version = event.version
-        if frozenset(event.zones) != self.fleet.evacuated_zones:
+        if set(event.zones) != set(self.evacuations.zones):
             self._replace(event.version, event.zones, "store")
 
     def on_update(self, update, address):
@@ -119,7 +119,7 @@
             former=former.zones,
             source=source,
         )
-        self.fleet.evacuated_zones = frozenset(zones)
+        self.fleet.evacuate_zones(zones)
         if set(zones) - set(former.zones):
             self._end_infeasible_jobs()
         context.post(ServersChanged())
--- a/buckthornshift/dispatch/_fleet.py
+++ b/buckthornshift/dispatch/_fleet.py
@@ -59,6 +59,7 @@
     :param unlisted_since_ms: when its entry vanished from the list, or ``None``.
     :param is_replaced: whether another server answers at its address, so that it is
         gone; its entry may be listed for some seconds more.
+    :param is_evacuated: whether its zone is evacuated, so that it gets no new task.
     :param suspect_until_ms: until when other servers are preferred to it.
     :param n_failures: consecutive failures.
     :param slowness: moving average of the ratio of actual to estimated run times.
@@ -86,6 +87,7 @@
     is_reachable: bool = True
     unlisted_since_ms: float | None = None
     is_replaced: bool = False
+    is_evacuated: bool = False
     suspect_until_ms: float = 0.0
     n_failures: int = 0
     slowness: float = 1.0
@@ -165,7 +167,7 @@
         self.context = context
         self.by_id = {}
         self.records = ()
-        self.evacuated_zones = frozenset()
+        self._evacuated_zones = frozenset()
         self._by_id_by_cell = [{}]
 
     def assign_cells(self, n_cells):
@@ -200,6 +202,7 @@
                 continue
             if server.record != record or server.unlisted_since_ms is not None:
                 server.update_record(record)
+                server.is_evacuated = record.zone in self._evacuated_zones
                 server.unlisted_since_ms = None
                 changed.append(server)
         for server in self.by_id.values():
@@ -208,6 +211,15 @@
                 unlisted.append(server)
         return added, changed, unlisted
 
+    def evacuate_zones(self, zones):
+        """Set the zones in which no server gets a new task.
+
+        :param zones: all evacuated zones.
+        """
+        self._evacuated_zones = frozenset(zones)
+        for server in self.by_id.values():
+            server.is_evacuated = server.record.zone in self._evacuated_zones
+
     def digest(self):
         """Return a checksum of the list, to compare it with that of other instances."""
         return sum(
@@ -216,17 +228,13 @@
             if server.unlisted_since_ms is None
         ) % (2**HASH_BITS)
 
-    def is_evacuated(self, server):
-        """Return whether a server is in an evacuated zone and gets no new task."""
-        return server.record.zone in self.evacuated_zones
-
     def is_schedulable(self, server):
         """Return whether a server may get a new task, if its resources suffice."""
         return (
             server.ownership is Ownership.OWNED
             and server.is_reachable
             and not server.record.is_draining
-            and not self.is_evacuated(server)
+            and not server.is_evacuated
             and server.n_unsized_runs == 0
             and server.n_isolated_runs == 0
             # A start would extend the lease of the run that is being stopped.
@@ -308,7 +316,7 @@
             and server.is_reachable
             and server.unlisted_since_ms is None
             and not server.record.is_draining
-            and not self.is_evacuated(server)
+            and not server.is_evacuated
         )
 
     def count_free_slots(self, service, need_cpu, cell):
@@ -342,7 +350,7 @@
             and (server.ownership is Ownership.OWNED or self._is_being_claimed(server))
             and server.is_reachable
             and not server.record.is_draining
-            and not self.is_evacuated(server)
+            and not server.is_evacuated
         )
 
     def count_free_cpu(self, cell):
@@ -366,7 +374,7 @@
         return any(
             server.record.service == service
             and not server.record.is_draining
-            and not self.is_evacuated(server)
+            and not server.is_evacuated
             and not server.is_replaced
             and self._is_listed(server)
             and server.record.capacity.covers(step.need)
@@ -379,7 +387,7 @@
             server.ownership is Ownership.CLAIMING
             and server.is_reachable
             and not server.record.is_draining
-            and not self.is_evacuated(server)
+            and not server.is_evacuated
             and server.unlisted_since_ms is None
         )
 
@@ -397,6 +405,7 @@
             hash=hash_name(record.server_id),
             free=record.capacity,
             last_response_ms=self.context.now_ms,
+            is_evacuated=record.zone in self._evacuated_zones,
         )
         self.by_id[server.id] = server
         self._add_to_cell(server)
--- a/tests/dispatch/test_evacuation.py
+++ b/tests/dispatch/test_evacuation.py
@@ -29,6 +29,7 @@
     RunningTask,
     SendToPeer,
     ServerRecord,
+    ServersRead,
     StartAnswered,
     StartRun,
     StepSpec,
@@ -136,6 +137,16 @@
     assert owner.core.fleet.count_owned() == len(SERVERS)
 
 
+def test_new_and_moved_servers_of_the_zone_get_no_task(owner):
+    owner.evacuate(5, "z0", "z1")
+    moved = attrs.evolve(SERVERS[2], zone="z1")
+    new = attrs.evolve(SERVERS[0], server_id="s3")
+    owner.feed(ServersRead(servers=(*SERVERS[:2], moved, new)))
+    assert owner.core.fleet.count_slots("s", 1_000) == 0
+    owner.feed(ServersRead(servers=SERVERS))
+    assert owner.core.fleet.count_slots("s", 1_000) == 2
+
+
 def test_running_tasks_finish_and_their_leases_are_renewed(owner):
     owner.submit(n_tasks=6)
     starts = owner.pop(StartRun)
--- a/tests/proving/fleet/test_fleet_mutations.py
+++ b/tests/proving/fleet/test_fleet_mutations.py
@@ -215,7 +215,7 @@
 
 def start_in_evacuated_zones(monkeypatch):
     """Start tasks on servers of evacuated zones."""
-    monkeypatch.setattr(Fleet, "is_evacuated", lambda self, server: False)
+    monkeypatch.setattr(Fleet, "evacuate_zones", lambda self, zones: None)
 
 
 MUTATIONS = [
