--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -112,3 +112,10 @@
     pool = FakePool((200, b"{}"))
     asyncio.run(StoreClient(pool=pool).put("t", "key", b"value"))
     assert pool.calls[0][2] == make_record(b"key", b"value")
+
+
+def test_value_that_is_not_base64_does_not_count_as_deleted():
+    """A zone would be used again although the key that evacuates it exists."""
+    page = (200, b'{"items":[{"Key":"evacuate/z","Value":"{}"}],"End":3}')
+    batch = asyncio.run(StoreClient(pool=FakePool(page)).read_newest("t"))
+    assert batch.records[0].value
