FEA Servers that restart under their former ids are noticed by their start

Cause: a server that restarts under its id runs nothing, numbers its ended runs from 1 and has another clock. The first ended runs were dropped as already processed, tasks of the former process stayed recorded as running, and any response cleared the crash history, so that a task which crashes its server was started again and again.

Change: the field `born` of a server's entry and of its lease responses identifies its incarnation. A higher value from either source is a restart: numbering, clock and lease begin anew, and what the new incarnation lists decides which runs are lost. Runs whose start has no answer go through the usual time-out and stop, and stops that the former incarnation acknowledged are repeated. Lower values are stale and ignored. The crash history is keyed by id and incarnation, and a restart confirms the loss. No task starts until the entry is that of the present incarnation, as its capacity may differ. A claim is incomplete until the new incarnation has accepted the token. The number of the last ended run is sent only right after ended runs were listed, because a new incarnation would apply it to its own numbering. Handed-over runs carry the incarnation that listed them, so that an owner does not wait for runs of a former one.

Losing runs moves from RunTracker to ServerLives. decode_server_response returns the start as a fifth value, so two of its tests compare five values.

--- a/buckthornshift/dispatch/_core.py
+++ b/buckthornshift/dispatch/_core.py
@@ -35,6 +35,7 @@
 from ._request_router import RequestRouter
 from ._runs import RunTracker
 from ._scheduler import TaskScheduler
+from ._server_lives import ServerLives
 from ._settings import DispatchIdentity, DispatchSettings
 from ._shutdown import GracefulShutdown
 
@@ -166,6 +167,13 @@
             jobs=self.jobs,
             crash_history=self.crash_history,
         )
+        self.lives = ServerLives(
+            context=context,
+            crash_history=self.crash_history,
+            jobs=self.jobs,
+            runs=self.runs,
+        )
+        self.runs.lives = self.lives
         self.list_publisher = ListPublisher(
             context=context,
             fleet=self.fleet,
@@ -185,9 +193,10 @@
             membership=self.membership,
             cells=self.cells,
             runs=self.runs,
+            lives=self.lives,
             list_follower=self.list_follower,
         )
-        self.runs.lease_manager = self.lease_manager
+        self.runs.lease_manager = self.lives.lease_manager = self.lease_manager
         self.load_shedder = LoadShedder(context=context, membership=self.membership)
         self.request_router = RequestRouter(
             context=context,
@@ -213,6 +222,7 @@
             self.cells,
             self.list_follower,
             self.lease_manager,
+            self.lives,
             self.list_publisher,
             self.crash_history,
             self.runs,
--- a/buckthornshift/dispatch/_crash_history.py
+++ b/buckthornshift/dispatch/_crash_history.py
@@ -24,14 +24,21 @@
 class _Loss:
     """Loss of a server, with the names of the tasks that may have caused it.
 
-    It is confirmed once the server is known to be gone, not only out of reach.
+    It is confirmed once the server is known to be gone, not only out of reach, or once
+    it has restarted.
     """
 
     server_id: str = ""
+    started_ms: int = 0
     silent_since_ms: float = 0.0
     is_confirmed: bool = False
     suspects: set = attrs.field(factory=set)
 
+    @property
+    def key(self):
+        """Id and incarnation of the server; each incarnation counts."""
+        return (self.server_id, self.started_ms)
+
 
 class CrashHistory:
     """Tell which tasks are suspected of crashing servers, and which are given up.
@@ -54,8 +61,8 @@
         self.fleet = fleet
         self.membership = membership
         self.cells = cells
-        self._loss_by_server_id = {}
-        self._server_ids_by_task = {}
+        self._loss_by_key = {}
+        self._keys_by_task = {}
 
     def subscribe(self):
         """Return handlers by message class."""
@@ -70,132 +77,181 @@
         match event.message:
             case ServerLoss() as message:
                 silent_since_ms = self.context.now_ms - message.age_ms
-                if not self._has_responded_since(message.server_id, silent_since_ms):
-                    loss = self._add(message.server_id, message.tasks, silent_since_ms)
-                    loss.is_confirmed = loss.is_confirmed or message.is_confirmed
+                is_gone = self._is_gone(message)
+                if is_gone or not self._has_responded_since(
+                    message.server_id, silent_since_ms
+                ):
+                    key = (message.server_id, message.started_ms)
+                    loss = self._add(key, message.tasks, silent_since_ms)
+                    loss.is_confirmed |= message.is_confirmed or is_gone
 
     def on_peer_connected(self, event):
         """Send the losses to an instance that may have missed them."""
         if not self.cells.is_owner:
             return
-        for loss in self._loss_by_server_id.values():
+        for loss in self._loss_by_key.values():
             self._send(event.address, loss)
 
     def on_housekeeping(self, message):
         """Forget old losses."""
         oldest_ms = self.context.now_ms - RETENTION_MS
-        for loss in list(self._loss_by_server_id.values()):
+        for loss in list(self._loss_by_key.values()):
             if loss.silent_since_ms < oldest_ms:
-                self.forget_server(loss.server_id)
+                self._forget(loss.key)
 
-    def record(self, server, tasks):
+    def record(self, server, tasks, is_former=False):
         """Record that a server was lost, and share that with the other instances.
 
         :param server: the :class:`Server`.
         :param tasks: names of the tasks that ran on it.
+        :param is_former: whether its former incarnation was lost.
         """
-        loss = self._add(server.id, tasks, server.last_response_ms)
+        silent_since_ms = server.last_response_ms
+        key = (server.id, server.started_ms)
+        if is_former:
+            silent_since_ms = server.former_silent_since_ms
+            key = (server.id, server.former_started_ms)
+        loss = self._add(key, tasks, silent_since_ms)
         if len(loss.suspects) == 1:
             self._clear_other_suspects(*loss.suspects)
         self._share(loss)
 
-    def confirm(self, server_id):
-        """Record that a lost server is gone; return the tasks that have failed now.
+    def confirm(self, server):
+        """Record that a server is gone; return the tasks that have failed now.
 
-        :param server_id: id of the server.
+        :param server: the :class:`Server`; former incarnations of it are gone as well.
         """
-        loss = self._loss_by_server_id.get(server_id)
-        if loss is None or loss.is_confirmed:
-            return []
-        loss.is_confirmed = True
-        self._share(loss)
-        return sorted(task for task in loss.suspects if self.has_failed(task))
+        return self._confirm(server.id, server.started_ms, is_shared=True)
 
-    def forget_server(self, server_id):
-        """Forget the loss of a server, because it is old or the server responds."""
-        loss = self._loss_by_server_id.pop(server_id, None)
-        if loss is not None:
-            for task in loss.suspects:
-                self._remove(task, server_id)
+    def confirm_former(self, server):
+        """Record that a server has restarted; return the tasks that have failed now.
+
+        :param server: the :class:`Server`, in its new incarnation.
+        """
+        # Every instance reads this from the list, so only an owner sends it.
+        is_shared = self.cells.is_owner
+        return self._confirm(server.id, server.started_ms - 1, is_shared)
+
+    def forget_response(self, server):
+        """Forget the unconfirmed loss of a server's incarnation, as it responds."""
+        key = (server.id, server.started_ms)
+        loss = self._loss_by_key.get(key)
+        if loss is not None and not (loss.is_confirmed and loss.started_ms):
+            self._forget(key)
 
     def clear_task(self, task):
         """Clear a task of all suspicion, because it has completed."""
-        for server_id in tuple(self._server_ids_by_task.get(task, ())):
-            self._loss_by_server_id[server_id].suspects.discard(task)
-            self._remove(task, server_id)
+        for key in tuple(self._keys_by_task.get(task, ())):
+            self._loss_by_key[key].suspects.discard(task)
+            self._remove(task, key)
 
     def is_suspect(self, task):
         """Return whether a task may have crashed a server."""
-        if task not in self._server_ids_by_task:
+        if task not in self._keys_by_task:
             return False
         return self._count_crashes(task) > 0 or self.is_given_up(task)
 
     def is_given_up(self, task):
         """Return whether a task must not be started again."""
-        server_ids = self._server_ids_by_task.get(task, ())
-        if len(server_ids) < MAX_CRASHES:
+        keys = self._keys_by_task.get(task, ())
+        if len(keys) < MAX_CRASHES:
             return False
-        return len(server_ids) >= MAX_LOSSES or self._count_crashes(task) >= MAX_CRASHES
+        return len(keys) >= MAX_LOSSES or self._count_crashes(task) >= MAX_CRASHES
 
     def has_failed(self, task):
         """Return whether a task was given up, and no run of it can have completed."""
         return self.is_given_up(task) and all(
-            self._loss_by_server_id[server_id].is_confirmed
-            for server_id in self._server_ids_by_task[task]
+            self._loss_by_key[key].is_confirmed for key in self._keys_by_task[task]
         )
 
     def list_lost_servers(self, task):
         """Return the ids of the servers that were lost under a task."""
-        return sorted(self._server_ids_by_task.get(task, ()))
+        return sorted(server_id for server_id, _ in self._keys_by_task.get(task, ()))
 
     def _has_responded_since(self, server_id, time_ms):
         """Return whether only the instance that reports a loss can't reach a server."""
         server = self.fleet.by_id.get(server_id)
         return server is not None and server.newest_response_sent_ms > time_ms
 
-    def _add(self, server_id, tasks, silent_since_ms):
-        loss = self._loss_by_server_id.setdefault(
-            server_id, _Loss(server_id=server_id, silent_since_ms=silent_since_ms)
+    def _is_gone(self, message):
+        """Return whether a reported loss can't be only a lack of contact.
+
+        Whether the server responds now says nothing of a former incarnation.
+        """
+        server = self.fleet.by_id.get(message.server_id)
+        is_former = server is not None and server.is_former(message.started_ms)
+        return is_former or (message.is_confirmed and message.started_ms > 0)
+
+    def _confirm(self, server_id, last_started_ms, is_shared):
+        """Confirm the losses of a server up to an incarnation."""
+        losses = [
+            loss
+            for loss in self._loss_by_key.values()
+            if loss.server_id == server_id
+            and loss.started_ms <= last_started_ms
+            and not loss.is_confirmed
+        ]
+        for loss in losses:
+            loss.is_confirmed = True
+            if is_shared:
+                self._share(loss)
+        tasks = set().union(*(loss.suspects for loss in losses))
+        return sorted(task for task in tasks if self.has_failed(task))
+
+    def _forget(self, key):
+        loss = self._loss_by_key.pop(key)
+        for task in loss.suspects:
+            self._remove(task, key)
+
+    def _add(self, key, tasks, silent_since_ms):
+        server_id, started_ms = key
+        loss = self._loss_by_key.setdefault(
+            key,
+            _Loss(
+                server_id=server_id,
+                started_ms=started_ms,
+                silent_since_ms=silent_since_ms,
+            ),
         )
         loss.suspects.update(tasks)
         for task in tasks:
-            self._server_ids_by_task.setdefault(task, set()).add(server_id)
+            self._keys_by_task.setdefault(task, set()).add(key)
         return loss
 
-    def _remove(self, task, server_id):
-        server_ids = self._server_ids_by_task.get(task, set())
-        server_ids.discard(server_id)
-        if not server_ids:
-            self._server_ids_by_task.pop(task, None)
+    def _remove(self, task, key):
+        keys = self._keys_by_task.get(task, set())
+        keys.discard(key)
+        if not keys:
+            self._keys_by_task.pop(task, None)
 
     def _clear_other_suspects(self, task):
         """Clear the tasks that were lost beside one that has crashed a server alone."""
         if not self.is_given_up(task):
             return
-        for server_id in self._server_ids_by_task[task]:
-            loss = self._loss_by_server_id[server_id]
+        for key in self._keys_by_task[task]:
+            loss = self._loss_by_key[key]
             for other in loss.suspects - {task}:
-                self._remove(other, server_id)
+                self._remove(other, key)
             loss.suspects = {task}
 
     def _count_crashes(self, task):
         """Return how many servers were lost under a task without a common cause."""
         return sum(
-            not self._is_common_failure(self._loss_by_server_id[server_id])
-            for server_id in self._server_ids_by_task.get(task, ())
+            not self._is_common_failure(self._loss_by_key[key])
+            for key in self._keys_by_task.get(task, ())
         )
 
     def _is_common_failure(self, loss):
-        silent_since_ms_by_id = {
-            server.id: server.last_response_ms
+        silent_since_ms_by_key = {
+            (server.id, server.started_ms): server.last_response_ms
             for server in self.fleet.by_id.values()
             if not server.is_reachable
         }
-        for other in self._loss_by_server_id.values():
-            silent_since_ms_by_id[other.server_id] = other.silent_since_ms
+        for other in self._loss_by_key.values():
+            silent_since_ms_by_key[other.key] = other.silent_since_ms
         n_together = sum(
             abs(silent_since_ms - loss.silent_since_ms) <= COMMON_FAILURE_WINDOW_MS
-            for silent_since_ms in silent_since_ms_by_id.values()
+            for silent_since_ms in silent_since_ms_by_key.values()
         )
         min_share = MIN_COMMON_FAILURE_SHARE * len(self.fleet.by_id)
         return n_together >= max(MIN_COMMON_FAILURES, min_share)
@@ -206,6 +262,7 @@
             tasks=tuple(sorted(loss.suspects)),
             age_ms=self.context.now_ms - loss.silent_since_ms,
             is_confirmed=loss.is_confirmed,
+            started_ms=loss.started_ms,
         )
         self.context.emit(SendToPeer(address=address, message=message))
 
--- a/buckthornshift/dispatch/_declarations.py
+++ b/buckthornshift/dispatch/_declarations.py
@@ -117,7 +117,7 @@
 class ServerRecord:
     """Entry of a backend server in the platform's list.
 
-    :param server_id: id of the server; a restarted server has a new one.
+    :param server_id: id of the server; a restarted server may keep it.
     :param service: name of the service that it belongs to.
     :param host: IP address.
     :param port: TCP port.
@@ -125,6 +125,8 @@
     :param is_draining: whether it is shutting down and must get no new tasks.
     :param capacity: total resources for tasks.
     :param labels: labels of its hardware and its rack.
+    :param started_ms: when the server's process started, in milliseconds since the
+        epoch, which identifies its incarnation; 0 if unknown.
     """
 
     server_id: str = ""
@@ -135,6 +137,7 @@
     is_draining: bool = False
     capacity: Resources = Resources()
     labels: tuple[str, ...] = ()
+    started_ms: int = 0
 
 
 @attrs.frozen(kw_only=True)
--- a/buckthornshift/dispatch/_events.py
+++ b/buckthornshift/dispatch/_events.py
@@ -203,6 +203,8 @@
     :param clock_ms: the server's clock; ``None`` if the response has none.
     :param running: the runs that the server reports as running.
     :param ended: the ended runs that are not acknowledged yet, oldest first.
+    :param started_ms: when the process that responds started, in milliseconds since
+        the epoch; 0 if unknown.
     """
 
     server_id: str = ""
@@ -212,6 +214,7 @@
     clock_ms: int | None = None
     running: tuple[RunningTask, ...] = ()
     ended: tuple[EndedTask, ...] = ()
+    started_ms: int = 0
 
 
 @attrs.frozen(kw_only=True)
--- a/buckthornshift/dispatch/_fleet.py
+++ b/buckthornshift/dispatch/_fleet.py
@@ -47,6 +47,14 @@
     :param n_isolated_runs: runs beside which no other may start.
     :param last_acked: number of the last finished run that was processed.
     :param last_acked_sent: the ``last_acked`` that the server was last sent.
+    :param has_listed_ends: whether a response since the last renewal or poll was sent
+        listed finished runs.
+    :param started_ms: its incarnation: when its process started, in milliseconds since
+        the epoch; 0 if unknown.
+    :param former_started_ms: incarnation before the last restart that was noticed.
+    :param former_silent_since_ms: when the former incarnation last responded.
+    :param restart_noticed_ms: when the last restart was noticed, or ``None``.
+    :param awaits_listing: whether it has restarted, and has not listed its runs since.
     :param clock_offset_ms: the server's clock minus that of this instance, or ``None``.
     :param clock_read_ms: when the offset was measured.
     :param lease_expiry_ms: when the last lease granted has certainly expired.
@@ -76,6 +84,12 @@
     n_isolated_runs: int = 0
     last_acked: int = 0
     last_acked_sent: int = 0
+    has_listed_ends: bool = False
+    started_ms: int = 0
+    former_started_ms: int = 0
+    former_silent_since_ms: float = 0.0
+    restart_noticed_ms: float | None = None
+    awaits_listing: bool = False
     clock_offset_ms: float | None = None
     clock_read_ms: float = 0.0
     lease_expiry_ms: float = 0.0
@@ -92,9 +106,22 @@
 
     @property
     def id(self):
-        """Id of the server; a restarted server has a new one."""
+        """Id of the server; a restarted server may keep it."""
         return self.record.server_id
 
+    @property
+    def is_held(self):
+        """Whether this instance sends lease renewals to it."""
+        return self.ownership not in (Ownership.NONE, Ownership.FENCED)
+
+    @property
+    def has_current_record(self):
+        """Whether its entry is not that of a former incarnation.
+
+        The capacity and the labels of the present one may differ.
+        """
+        return not 0 < self.record.started_ms < self.started_ms
+
     @property
     def is_idle(self):
         """Whether no run is known on it."""
@@ -113,6 +140,49 @@
             for run in self.run_by_name.values()
         )
 
+    def is_former(self, started_ms):
+        """Return whether an entry or a response is from a former incarnation."""
+        return 0 < started_ms < self.started_ms
+
+    def is_newer(self, started_ms):
+        """Return whether an entry or a response shows that the server has restarted.
+
+        The first known start is none, unless the server has responded without one.
+        """
+        has_responded = self.newest_response_sent_ms >= 0.0
+        return started_ms > self.started_ms and (self.started_ms > 0 or has_responded)
+
+    def begin_incarnation(self, started_ms, now_ms):
+        """Forget what only held for the former incarnation, except its runs."""
+        if not self.awaits_listing:
+            self.former_started_ms = self.started_ms
+            self.former_silent_since_ms = self.last_response_ms
+        self.started_ms = started_ms
+        self.restart_noticed_ms = now_ms
+        self.awaits_listing = True
+        self.last_acked = self.last_acked_sent = 0
+        self.has_listed_ends = False
+        self.clock_offset_ms = None
+        self.clock_read_ms = 0.0
+        self.refused_term = 0
+        self.is_replaced = False
+
+    @property
+    def has_unsent_ack(self):
+        """Whether it has listed finished runs that no renewal has acknowledged."""
+        if self.started_ms:
+            return self.has_listed_ends
+        return self.last_acked_sent < self.last_acked
+
+    def choose_ack(self):
+        """Return the number of the last finished run to acknowledge now.
+
+        A server that may restart under its id gets a number only right after it has
+        listed finished runs. A new incarnation would forget its own runs up to it.
+        """
+        has_listed_ends, self.has_listed_ends = self.has_listed_ends, False
+        return self.last_acked if has_listed_ends or not self.started_ms else 0
+
     def update_record(self, record):
         """Replace the record; a change of the capacity changes what is free."""
         used = self.record.capacity.minus(self.free)
@@ -185,6 +255,8 @@
     def update_list(self, records):
         """Replace the list of servers.
 
+        An entry of a former incarnation of a server doesn't replace a newer one.
+
         :param records: the :class:`ServerRecord` of every listed server.
         :returns: lists of added, changed and newly unlisted servers.
         """
@@ -197,6 +269,12 @@
                 server = self._add(record)
                 added.append(server)
                 continue
+            if server.is_former(record.started_ms):
+                record = server.record
+            elif server.is_newer(record.started_ms):
+                server.begin_incarnation(record.started_ms, self.context.now_ms)
+            else:
+                server.started_ms = max(server.started_ms, record.started_ms)
             if server.record != record or server.unlisted_since_ms is not None:
                 server.update_record(record)
                 server.unlisted_since_ms = None
@@ -210,7 +288,10 @@
     def digest(self):
         """Return a checksum of the list, to compare it with that of other instances."""
         return sum(
-            server.hash + server.record.is_draining + server.record.capacity.cpu
+            server.hash
+            + server.record.is_draining
+            + server.record.capacity.cpu
+            + server.record.started_ms
             for server in self.by_id.values()
             if server.unlisted_since_ms is None
         ) % (2**HASH_BITS)
@@ -225,6 +306,7 @@
             and server.n_isolated_runs == 0
             # A start would extend the lease of the run that is being stopped.
             and not server.has_unacked_stop
+            and server.has_current_record
             and self._is_listed(server)
         )
 
@@ -385,6 +467,7 @@
             record=record,
             hash=hash_name(record.server_id),
             free=record.capacity,
+            started_ms=record.started_ms,
             last_response_ms=self.context.now_ms,
         )
         self.by_id[server.id] = server
--- a/buckthornshift/dispatch/_internal_messages.py
+++ b/buckthornshift/dispatch/_internal_messages.py
@@ -97,6 +97,16 @@
     servers: tuple = ()
 
 
+@attrs.frozen(kw_only=True)
+class ServersRestarted:
+    """The list shows that servers have restarted under their former ids.
+
+    :param servers: each :class:`Server`.
+    """
+
+    servers: tuple = ()
+
+
 @attrs.frozen(kw_only=True)
 class ServersChanged:
     """Servers or jobs changed in a way that may allow waiting tasks to start."""
--- a/buckthornshift/dispatch/_leases.py
+++ b/buckthornshift/dispatch/_leases.py
@@ -34,7 +34,8 @@
     :param fleet: the :class:`Fleet`.
     :param membership: the :class:`Membership`.
     :param cells: the :class:`Cells`.
-    :param runs: the :class:`RunTracker`, which is notified of finished and lost runs.
+    :param runs: the :class:`RunTracker`, which is notified of finished runs.
+    :param lives: the :class:`ServerLives`, which is notified of lost servers.
     :param list_follower: the :class:`ListFollower`.
     """
 
@@ -45,6 +46,7 @@
         membership=None,
         cells=None,
         runs=None,
+        lives=None,
         list_follower=None,
     ):
         self.context = context
@@ -52,6 +54,7 @@
         self.membership = membership
         self.cells = cells
         self.runs = runs
+        self.lives = lives
         self.list_follower = list_follower
         self._has_yielding = False
         cells.list_yielding_ids = self.list_yielding_ids
@@ -195,8 +198,12 @@
             # A server that doesn't answer gets no lease, so that its runs lapse. That
             # includes stops: a renewal on another connection may overtake one.
             lease_end_ms = self.grant_lease(server)
-        may_wait = server.ownership is not Ownership.CLAIMING and not server.is_idle
-        server.last_acked_sent = server.last_acked
+        may_wait = (
+            server.ownership is not Ownership.CLAIMING
+            and not server.is_idle
+            and not server.awaits_listing
+        )
+        server.last_acked_sent = server.choose_ack()
         context.counters.n_holds += 1
         context.emit(
             RenewLease(
@@ -204,7 +211,7 @@
                 token=server.token,
                 lease_end_ms=lease_end_ms,
                 sent_ms=context.now_ms,
-                last_acked=server.last_acked,
+                last_acked=server.last_acked_sent,
                 wait_ms=int(settings.hold_wait_ms) if may_wait else 0,
             )
         )
@@ -228,10 +235,18 @@
                 server=server.record,
                 token=server.token,
                 sent_ms=context.now_ms,
-                last_acked=server.last_acked,
+                last_acked=server.choose_ack(),
             )
         )
 
+    def ask_again(self, server):
+        """Ask a restarted server for its runs; what was asked before doesn't count."""
+        server.renewal_sent_ms = server.poll_sent_ms = None
+        if server.is_held:
+            self.renew_lease(server)
+            # The new incarnation has seen no token, so it may accept that of a rival.
+            self._update_complete_term(server.cell)
+
     def grant_lease(self, server):
         """Return when a new lease ends on the server's clock, and record its expiry."""
         context = self.context
@@ -256,6 +271,10 @@
             return
         if event.token != server.token:
             return
+        if self.lives.is_stale(server, event):
+            self._handle_failed_renewal(server)
+            return
+        self.lives.read_incarnation(server, event)
         match event.verdict:
             case Verdict.DONE:
                 self._apply_response(server, event)
@@ -293,7 +312,7 @@
     def _is_refresh_due(self, server):
         """Return whether an idle server's clock is to be read or a run acknowledged."""
         age_ms = self.context.now_ms - server.clock_read_ms
-        has_unsent_ack = server.last_acked_sent < server.last_acked
+        has_unsent_ack = server.has_unsent_ack
         is_stale = age_ms > self.context.settings.clock_refresh_ms / 2
         return is_stale or (has_unsent_ack and age_ms > IDLE_ACK_DELAY_MS)
 
@@ -354,6 +373,7 @@
             # waits at the server.
             server.newest_response_sent_ms = event.sent_ms
             self.runs.reconcile_running(server, event)
+        server.has_listed_ends |= bool(event.ended)
         for ended in event.ended:
             if ended.number > server.last_acked:
                 server.last_acked = ended.number
@@ -367,7 +387,7 @@
     def _record_response(self, server, clock_ms):
         context = self.context
         server.last_response_ms = context.now_ms
-        self.runs.crash_history.forget_server(server.id)
+        self.runs.crash_history.forget_response(server)
         server.is_reachable = True
         if clock_ms is not None:
             server.update_clock_offset(clock_ms, context.now_ms)
@@ -392,6 +412,8 @@
                 sent_ms=context.now_ms,
                 percent=running.percent,
                 progress_changed_ms=context.now_ms,
+                confirmed_ms=context.now_ms,
+                listed_started_ms=server.started_ms,
                 is_found=True,
             )
             self.runs.track_found(server, run)
@@ -424,7 +446,7 @@
             and silent_ms > settings.rival_takeover_ms
         )
         if not server.is_reachable and is_lapsed and not server.is_idle:
-            self.runs.lose_all(server, "leases_expired")
+            self.lives.lose_all(server, "leases_expired")
         if server.ownership is Ownership.CLAIMING and not server.is_reachable:
             server.ownership = Ownership.NONE
         delay_ms = 0.0 if server.is_reachable else settings.retry_ms
@@ -436,14 +458,16 @@
         server.ownership = ownership
         server.renewal_sent_ms = server.poll_sent_ms = None
         server.token = 0
+        if server.awaits_listing:
+            self.lives.lose_former(server)
         self.runs.leave_to_next_owner(server)
 
     def _drop_replaced(self, server):
         server.ownership = Ownership.NONE
         server.is_replaced = True
         server.is_reachable = False
-        self.runs.lose_all(server, "server_replaced")
-        self.runs.confirm_loss(server)
+        self.lives.lose_all(server, "server_replaced")
+        self.lives.confirm_loss(server)
         self._remove_if_gone(server)
 
     def _remove_if_gone(self, server):
@@ -456,7 +480,7 @@
         is_lost = unlisted_ms >= context.settings.unlisted_grace_ms
         if is_gone or (is_lost and not server.is_reachable):
             self.fleet.remove(server)
-            self.runs.confirm_loss(server)
+            self.lives.confirm_loss(server)
             self.runs.adoption.clear_lost(server.id)
             context.emit(DisconnectServer(server_id=server.id))
 
@@ -478,6 +502,8 @@
             # Tasks may run on a server that is missing from the list.
             return 0
         servers = [s for s in self.fleet.list_servers(cell) if not s.is_replaced]
-        if not all(s.ownership is Ownership.OWNED for s in servers):
+        if not all(
+            s.ownership is Ownership.OWNED and not s.awaits_listing for s in servers
+        ):
             return 0
         return min((s.token >> TOKEN_RANDOM_BITS for s in servers), default=0)
--- a/buckthornshift/dispatch/_list_follower.py
+++ b/buckthornshift/dispatch/_list_follower.py
@@ -8,6 +8,7 @@
     HousekeepingDue,
     ServersAdded,
     ServersChanged,
+    ServersRestarted,
 )
 from ._list_publisher import LIST_CELL
 from ._peer_messages import ServerHealthUpdate, ServerListUpdate
@@ -126,6 +127,9 @@
                 context.log(LogCode.SERVER_DRAINING, server.id)
         for server in unlisted:
             context.log(LogCode.SERVER_UNLISTED, server.id)
+        restarted = tuple(s for s in changed if s.restart_noticed_ms == context.now_ms)
+        if restarted:
+            context.post(ServersRestarted(servers=restarted))
         if added:
             context.post(ServersAdded(servers=tuple(added)))
         if added or changed or unlisted:
--- a/buckthornshift/dispatch/_peer_messages.py
+++ b/buckthornshift/dispatch/_peer_messages.py
@@ -81,10 +81,13 @@
 
     :param task: name of the task.
     :param server_id: server on which it may still be running.
+    :param started_ms: incarnation of the server that listed it as running; 0 if none
+        did.
     """
 
     task: str = ""
     server_id: str = ""
+    started_ms: int = 0
 
 
 @attrs.frozen(kw_only=True)
@@ -241,12 +244,14 @@
     :param tasks: names of the tasks that may have crashed it.
     :param age_ms: time since the server last responded.
     :param is_confirmed: whether the server is known to be gone, not only out of reach.
+    :param started_ms: incarnation that was lost; 0 if unknown.
     """
 
     server_id: str = ""
     tasks: tuple[str, ...] = ()
     age_ms: float = 0.0
     is_confirmed: bool = False
+    started_ms: int = 0
 
 
 @attrs.frozen(kw_only=True)
--- a/buckthornshift/dispatch/_run_adoption.py
+++ b/buckthornshift/dispatch/_run_adoption.py
@@ -22,9 +22,9 @@
         self.jobs = jobs
         self.runs = runs
         self._completed_ms_by_name = {}
-        self._lost_server_id_by_name = {}
-        # For runs that a former owner handed over: the server, when that was, and when
-        # their leases must have expired.
+        # The :class:`RunLeft` of each run, by name of its task; for those that a former
+        # owner handed over, also when that was, and when their leases have expired.
+        self._lost_run_by_name = {}
         self._left_run_by_name = {}
 
     def may_run(self, name):
@@ -32,23 +32,23 @@
 
         :param name: name of the task.
         """
-        if name in self._lost_server_id_by_name:
+        if name in self._lost_run_by_name:
             return True
         _, _, until_ms = self._left_run_by_name.get(name, (None, 0.0, 0.0))
         return self.context.now_ms < until_ms
 
-    def record_lost(self, name, server_id):
+    def record_lost(self, run):
         """Record that a run goes on at a server that another instance may own now."""
-        self._lost_server_id_by_name[name] = server_id
+        self._lost_run_by_name[run.name] = _make_run_left(run)
 
     def clear_lost(self, server_id):
         """Forget the runs that were lost with a server.
 
         Called once the server has reported its runs again, or has been removed.
         """
-        for name, lost_id in list(self._lost_server_id_by_name.items()):
-            if lost_id == server_id:
-                del self._lost_server_id_by_name[name]
+        for name, left in list(self._lost_run_by_name.items()):
+            if left.server_id == server_id:
+                del self._lost_run_by_name[name]
         self.clear_left(server_id, self.context.now_ms)
 
     def clear_left(self, server_id, asked_ms):
@@ -57,23 +57,35 @@
         :param server_id: id of the server.
         :param asked_ms: when the request was sent that the server has answered.
         """
-        for name, (left_id, since_ms, _) in list(self._left_run_by_name.items()):
-            if left_id == server_id and asked_ms >= since_ms:
+        for name, (left, since_ms, _) in list(self._left_run_by_name.items()):
+            if left.server_id == server_id and asked_ms >= since_ms:
+                del self._left_run_by_name[name]
+
+    def clear_former(self, server):
+        """Forget the runs that a former incarnation of a server listed.
+
+        A run that no response listed may have been started on the present one.
+
+        :param server: the :class:`Server`, which has restarted.
+        """
+        for name, left in list(self._lost_run_by_name.items()):
+            if left.server_id == server.id and server.is_former(left.started_ms):
+                del self._lost_run_by_name[name]
+        for name, (left, _, _) in list(self._left_run_by_name.items()):
+            if left.server_id == server.id and server.is_former(left.started_ms):
                 del self._left_run_by_name[name]
 
     def list_left(self, job):
         """Return a :class:`RunLeft` of each run of a job that may not have ended."""
-        server_id_by_name = self._lost_server_id_by_name | {
+        left_by_name = self._lost_run_by_name | {
             name: left_run[0] for name, left_run in self._left_run_by_name.items()
         }
         for task in job.tasks:
-            server, _ = self.runs.find_open(task.name)
-            if server is not None:
-                server_id_by_name[task.name] = server.id
+            _, run = self.runs.find_open(task.name)
+            if run is not None:
+                left_by_name[task.name] = _make_run_left(run)
         return tuple(
-            RunLeft(task=task.name, server_id=server_id_by_name[task.name])
-            for task in job.tasks
-            if task.name in server_id_by_name
+            left_by_name[task.name] for task in job.tasks if task.name in left_by_name
         )
 
     def adopt_if_job_known(self, server, run):
@@ -90,9 +102,11 @@
         """
         now_ms = self.context.now_ms
         for left in message.runs_left:
-            until_ms = now_ms + message.runs_left_ms
-            self._left_run_by_name[left.task] = (left.server_id, now_ms, until_ms)
             server = self.fleet.by_id.get(left.server_id)
+            if server is not None and server.is_former(left.started_ms):
+                continue
+            until_ms = now_ms + message.runs_left_ms
+            self._left_run_by_name[left.task] = (left, now_ms, until_ms)
             if server is not None and server.ownership is Ownership.OWNED:
                 # The former owner may have taken it unnoticed, so it is asked again.
                 self.runs.lease_manager.poll_now(server)
@@ -152,3 +166,9 @@
             LogCode.JOB_ADOPTED, task.name, server=server.id, percent=run.percent
         )
         self.context.post(ServersChanged())
+
+
+def _make_run_left(run):
+    return RunLeft(
+        task=run.name, server_id=run.server_id, started_ms=run.listed_started_ms
+    )
--- a/buckthornshift/dispatch/_runs.py
+++ b/buckthornshift/dispatch/_runs.py
@@ -44,6 +44,7 @@
         self.jobs = jobs
         self.crash_history = crash_history
         self.lease_manager = None
+        self.lives = None
         self.start_timeout = AdaptiveTimeout(max_ms=context.settings.call_timeout_ms)
         self._open_runs_by_name = {}
         self._overdue_starts = []
@@ -155,7 +156,11 @@
         if run is None:
             return
         if event.clock_ms is not None:
-            server.update_clock_offset(event.clock_ms, self.context.now_ms)
+            # A response to a start sent before a restart was noticed may be that of the
+            # former incarnation, which had another clock.
+            noticed_ms = server.restart_noticed_ms
+            if noticed_ms is None or run.sent_ms > noticed_ms:
+                server.update_clock_offset(event.clock_ms, self.context.now_ms)
             server.last_response_ms = self.context.now_ms
             # Late responses are sampled too: without them the timeout would never
             # grow, and a busy process would stop every run that it starts.
@@ -242,15 +247,16 @@
         """
         context = self.context
         self.adoption.clear_left(server.id, event.sent_ms)
+        self.lives.resolve_runs(server, event)
         listed_by_name = {running.task: running for running in event.running}
         for run in list(server.run_by_name.values()):
             running = listed_by_name.get(run.name)
             if running is not None and running.run == run.number:
-                self._update_progress(run, running)
+                self._update_progress(server, run, running)
             elif self._is_confirmed_ended(run, event):
                 context.log(LogCode.RUN_RESOLVED, run.name, server=server.id)
-                self._close_run(server, run)
-                self._requeue_task(run)
+                self.close_run(server, run)
+                self.requeue_task(run)
         for running in event.running:
             if running.task not in server.run_by_name:
                 self._stop_orphan(server, running)
@@ -275,53 +281,30 @@
             if ended.kind is EndKind.DONE:
                 self.adoption.record_completion(ended.task)
             return
-        self._close_run(server, run)
+        self.close_run(server, run)
         if run.task is None:
             if ended.kind is EndKind.DONE:
                 self.adoption.record_completion(ended.task)
             return
         self._handle_end(server, run, ended.kind)
 
-    def lose_all(self, server, cause):
-        """Count the runs of a server that crashed, or can't be reached, as ended.
-
-        :param server: the server, whose leases have expired if it may still run.
-        :param cause: what shows that its runs have ended, for the log.
-        """
-        context = self.context
-        runs = list(server.run_by_name.values())
-        for run in runs:
-            context.counters.n_runs_lost += 1
-            context.log(
-                LogCode.RUN_LOST,
-                run.name,
-                server=server.id,
-                run=run.number,
-                cause=cause,
-                silent_ms=round(context.now_ms - server.last_response_ms),
-                lost_with=[other.name for other in runs if other is not run],
-            )
-            self._close_run(server, run)
-            if run.task is not None:
-                self._requeue_task(run)
-        if not server.record.is_draining:
-            self._record_losses(server, runs)
-
-    def confirm_loss(self, server):
-        """Fail the jobs of tasks that crashed their servers, now that one is gone.
+    def close_run(self, server, run):
+        """Release the resources of a run that no longer exists."""
+        server.remove_run(run)
+        if self._open_runs_by_name.get(run.name, (None, None))[1] is run:
+            del self._open_runs_by_name[run.name]
+        self.context.post(RunReleased(job_id=run.name.partition(".")[0]))
 
-        :param server: the server, which has been replaced or is no longer listed.
-        """
-        for name in self.crash_history.confirm(server.id):
-            job = self.jobs.by_id.get(name.partition(".")[0])
-            if job is not None and not job.is_ended:
-                self.jobs.fail(job, EndReason.ATTEMPTS_USED_UP)
+    def requeue_task(self, run):
+        """Let the task of a closed run wait for a server again."""
+        if run.task is not None and run.task.phase is TaskPhase.PLACED:
+            run.task.job.set_phase(run.task, TaskPhase.WAITING)
 
     def leave_to_next_owner(self, server):
         """Stop tracking the runs of a server that another instance may own now."""
         for run in list(server.run_by_name.values()):
-            self._close_run(server, run)
-            self.adoption.record_lost(run.name, server.id)
+            self.close_run(server, run)
+            self.adoption.record_lost(run)
             if run.task is not None:
                 run.task.job.set_phase(run.task, TaskPhase.WAITING)
                 self.jobs.return_job(run.task.job)
@@ -335,7 +318,7 @@
     def leave_behind(self, server):
         """Stop tracking the runs of a server, which the next owner adopts."""
         for run in list(server.run_by_name.values()):
-            self._close_run(server, run)
+            self.close_run(server, run)
 
     def _is_confirmed_ended(self, run, event):
         if run.stop_acked_ms is None or event.sent_ms < run.stop_acked_ms:
@@ -355,20 +338,21 @@
         server.add_run(run)
         self._open_runs_by_name[run.name] = (server, run)
 
-    def _close_run(self, server, run):
-        server.remove_run(run)
-        if self._open_runs_by_name.get(run.name, (None, None))[1] is run:
-            del self._open_runs_by_name[run.name]
-        self.context.post(RunReleased(job_id=run.name.partition(".")[0]))
-
     def _mark_running(self, server, run):
         run.phase = RunPhase.RUNNING
+        self._confirm_running(run)
         if run.task.job.is_ended:
             self.stop(server, run)
             return
         self.lease_manager.renew_lease(server)
 
-    def _update_progress(self, run, running):
+    def _confirm_running(self, run):
+        if run.confirmed_ms is None:
+            run.confirmed_ms = self.context.now_ms
+
+    def _update_progress(self, server, run, running):
+        self._confirm_running(run)
+        run.listed_started_ms = server.started_ms
         if run.phase is RunPhase.STARTING:
             run.phase = RunPhase.RUNNING
         if running.percent != run.percent:
@@ -396,7 +380,7 @@
             self.lease_manager.mark_fenced(server)
             return
         task.job.n_runs_started -= 1
-        self._close_run(server, run)
+        self.close_run(server, run)
         match verdict:
             case Verdict.OLD_RUN:
                 task.last_run_number += RUN_NUMBER_STEP
@@ -405,7 +389,7 @@
                 self._mark_suspect(server, verdict)
             case Verdict.REJECTED:
                 task.n_failures = task.job.queue.max_attempts
-        self._requeue_task(run)
+        self.requeue_task(run)
         if verdict is Verdict.REJECTED and not task.job.is_ended:
             self.jobs.fail(task.job, EndReason.ATTEMPTS_USED_UP)
 
@@ -419,28 +403,11 @@
                     self.jobs.complete(job)
             case EndKind.FAILED:
                 self._record_failure(server, task)
-                self._requeue_task(run)
+                self.requeue_task(run)
                 if task.n_failures >= job.queue.max_attempts and not job.is_ended:
                     self.jobs.fail(job, EndReason.ATTEMPTS_USED_UP)
             case _:
-                self._requeue_task(run)
-
-    def _record_losses(self, server, runs):
-        """Record which tasks lost their server, and which are not started again."""
-        if not runs:
-            return
-        self.crash_history.record(server, [run.name for run in runs])
-        for run in runs:
-            if self.crash_history.is_given_up(run.name):
-                self.context.log(
-                    LogCode.TASK_GIVEN_UP,
-                    run.name,
-                    servers=self.crash_history.list_lost_servers(run.name),
-                )
-
-    def _requeue_task(self, run):
-        if run.task is not None and run.task.phase is TaskPhase.PLACED:
-            run.task.job.set_phase(run.task, TaskPhase.WAITING)
+                self.requeue_task(run)
 
     def _record_success(self, server, run):
         server.n_failures = 0
@@ -477,6 +444,8 @@
             number=running.run,
             server_id=server.id,
             phase=RunPhase.RUNNING,
+            confirmed_ms=self.context.now_ms,
+            listed_started_ms=server.started_ms,
         )
         self._open_run(server, run)
         self.stop(server, run)
--- /dev/null
+++ b/buckthornshift/dispatch/_server_lives.py
@@ -0,0 +1,208 @@
+"""Restarts of servers under their former ids, and runs that are lost with a server."""
+
+from ._actions import DisconnectServer, LogCode
+from ._events import Verdict
+from ._internal_messages import ServersChanged, ServersRestarted
+from ._jobs import RunPhase
+from ._peer_messages import EndReason
+
+# Verdicts of responses that come from the server itself. A response that another
+# incarnation is at the address comes from another server.
+OWN_VERDICTS = (Verdict.DONE, Verdict.FENCED)
+
+
+class ServerLives:
+    """Notice that a server has restarted, and decide what happens to its runs.
+
+    A restarted server runs nothing, has seen no fencing token and numbers its ended
+    runs from 1. The list or a response may show the restart first. What the new
+    incarnation lists decides which runs are lost: a start command that was sent to the
+    former one may have reached the new one.
+
+    :param context: the shared :class:`DispatchContext`.
+    :param crash_history: the :class:`CrashHistory`.
+    :param jobs: the :class:`OwnerJobs`.
+    :param runs: the :class:`RunTracker`.
+    """
+
+    def __init__(self, context=None, crash_history=None, jobs=None, runs=None):
+        self.context = context
+        self.crash_history = crash_history
+        self.jobs = jobs
+        self.runs = runs
+        self.lease_manager = None
+
+    def subscribe(self):
+        """Return handlers by message class."""
+        return {ServersRestarted: self.on_servers_restarted}
+
+    def on_servers_restarted(self, message):
+        """Ask restarted servers for their runs, over new connections."""
+        for server in message.servers:
+            self._record_restart(server, "list")
+            # Its connections are broken, and its address may have changed.
+            self.context.emit(DisconnectServer(server_id=server.id))
+            self.lease_manager.ask_again(server)
+
+    def is_stale(self, server, event):
+        """Return whether a response is from a former incarnation of its server.
+
+        :param server: the :class:`Server`.
+        :param event: its :class:`RenewalAnswered`.
+        """
+        if event.verdict not in OWN_VERDICTS or not server.is_former(event.started_ms):
+            return False
+        self.context.log(
+            LogCode.STALE_RESPONSE,
+            server.id,
+            started_ms=event.started_ms,
+            known_started_ms=server.started_ms,
+        )
+        return True
+
+    def read_incarnation(self, server, event):
+        """Note the incarnation of a server that responds, which may be a new one.
+
+        :param server: the :class:`Server`.
+        :param event: its :class:`RenewalAnswered`, which is not stale.
+        """
+        if event.verdict not in OWN_VERDICTS:
+            return
+        if server.is_newer(event.started_ms):
+            server.begin_incarnation(event.started_ms, self.context.now_ms)
+            self._record_restart(server, "response")
+        server.started_ms = max(server.started_ms, event.started_ms)
+
+    def resolve_runs(self, server, event):
+        """Close the runs that a restarted server no longer has.
+
+        A run is gone if it was known to run before the response was requested, and the
+        response lists it neither as running nor as ended. It was lost in the restart,
+        or its end was acknowledged under the former numbering. A start without an
+        answer is not resolved here: the new incarnation may still carry it out.
+
+        :param server: the :class:`Server`.
+        :param event: its :class:`RenewalAnswered`.
+        """
+        if server.restart_noticed_ms is None:
+            return
+        listed = {(running.task, running.run) for running in event.running}
+        listed |= {(ended.task, ended.run) for ended in event.ended}
+        missing = [
+            run
+            for run in server.run_by_name.values()
+            if (run.name, run.number) not in listed and run.sent_ms < event.sent_ms
+        ]
+        gone = [
+            run
+            for run in missing
+            if run.confirmed_ms is not None and run.confirmed_ms < event.sent_ms
+        ]
+        # A task that crashes its server before it answers is suspected as well.
+        suspects = missing if server.awaits_listing else gone
+        self._close_lost(server, gone, "server_restarted")
+        self._record_losses(
+            server,
+            [run for run in suspects if run.sent_ms <= server.restart_noticed_ms],
+            is_former=True,
+        )
+        if server.awaits_listing:
+            self._bar_again(server)
+        server.awaits_listing = False
+
+    def lose_former(self, server):
+        """Close the runs that a former incarnation of a server listed.
+
+        Called when a rival has taken the server before it listed its runs here.
+        """
+        runs = [
+            run
+            for run in server.run_by_name.values()
+            if server.is_former(run.listed_started_ms)
+        ]
+        self._close_lost(server, runs, "server_restarted")
+        self._record_losses(server, runs, is_former=True)
+
+    def lose_all(self, server, cause):
+        """Count the runs of a server that crashed, or can't be reached, as ended.
+
+        :param server: the server, whose leases have expired if it may still run.
+        :param cause: what shows that its runs have ended, for the log.
+        """
+        runs = list(server.run_by_name.values())
+        self._close_lost(server, runs, cause)
+        self._record_losses(server, runs, is_former=server.awaits_listing)
+
+    def confirm_loss(self, server):
+        """Fail the jobs of tasks that crashed their servers, now that one is gone.
+
+        :param server: the server, which has been replaced or is no longer listed.
+        """
+        self._fail_jobs(self.crash_history.confirm(server))
+
+    def _record_restart(self, server, source):
+        context = self.context
+        context.log(
+            LogCode.SERVER_RESTARTED,
+            server.id,
+            source=source,
+            started_ms=server.started_ms,
+            former_started_ms=server.former_started_ms,
+            n_runs=len(server.run_by_name),
+        )
+        self.runs.adoption.clear_former(server)
+        self._fail_jobs(self.crash_history.confirm_former(server))
+        context.post(ServersChanged())
+
+    def _close_lost(self, server, runs, cause):
+        context = self.context
+        lost_names = [run.name for run in runs]
+        for run in runs:
+            context.counters.n_runs_lost += 1
+            context.log(
+                LogCode.RUN_LOST,
+                run.name,
+                server=server.id,
+                run=run.number,
+                cause=cause,
+                silent_ms=round(context.now_ms - server.last_response_ms),
+                lost_with=[name for name in lost_names if name != run.name],
+            )
+            self.runs.close_run(server, run)
+            self.runs.requeue_task(run)
+
+    def _record_losses(self, server, runs, is_former):
+        """Record which tasks lost their server, and which are not started again.
+
+        :param server: the server.
+        :param runs: its lost runs.
+        :param is_former: whether they were lost with its former incarnation.
+        """
+        if not runs or server.record.is_draining:
+            return
+        self.crash_history.record(server, [run.name for run in runs], is_former)
+        for run in runs:
+            if self.crash_history.is_given_up(run.name):
+                self.context.log(
+                    LogCode.TASK_GIVEN_UP,
+                    run.name,
+                    servers=self.crash_history.list_lost_servers(run.name),
+                )
+        if is_former:
+            self._fail_jobs(self.crash_history.confirm_former(server))
+
+    def _bar_again(self, server):
+        """Repeat the stops that the former incarnation acknowledged.
+
+        The start may still arrive, and the new incarnation would carry it out.
+        """
+        for run in server.run_by_name.values():
+            if run.phase is RunPhase.STOPPING and run.stop_acked_ms is not None:
+                run.stop_acked_ms = None
+                self.runs.stop(server, run)
+
+    def _fail_jobs(self, names):
+        for name in names:
+            job = self.jobs.by_id.get(name.partition(".")[0])
+            if job is not None and not job.is_ended:
+                self.jobs.fail(job, EndReason.ATTEMPTS_USED_UP)
--- a/buckthornshift/platform/_documents.py
+++ b/buckthornshift/platform/_documents.py
@@ -66,6 +66,8 @@
     state: str
     capacity: _Capacity
     labels: list[str] = []
+    # Start of the server's process, in milliseconds since the epoch.
+    born: int = msgspec.field(name="born", default=0)
 
 
 class _Step(msgspec.Struct, rename="pascal"):
@@ -162,6 +164,7 @@
             gpu=server.capacity.gpu,
         ),
         labels=tuple(server.labels),
+        started_ms=server.born,
     )
 
 
--- a/buckthornshift/platform/_server_protocol.py
+++ b/buckthornshift/platform/_server_protocol.py
@@ -56,6 +56,8 @@
     running: list[list] = []
     # Rows of sequence number, task, run, kind of end and checkpoint.
     ended: list[list] = []
+    # Start of the server's process, in milliseconds since the epoch.
+    born: int = msgspec.field(name="born", default=0)
 
 
 _ENCODER = msgspec.json.Encoder()
@@ -114,7 +116,8 @@
     :param status: HTTP status code.
     :param body: response body.
     :returns: a tuple of the :class:`~buckthornshift.dispatch.Verdict`, the clock of the
-        server in ms or ``None``, the running tasks and the ended tasks.
+        server in ms or ``None``, the running tasks, the ended tasks, and when the
+        server started, in milliseconds since the epoch or 0.
     """
     try:
         response = _RESPONSE_DECODER.decode(body) if body else _Response()
@@ -122,11 +125,11 @@
         ended = tuple(_decode_ended(row) for row in response.ended)
     except (msgspec.MsgspecError, ValueError, IndexError, TypeError):
         # An unreadable response doesn't tell whether the request was carried out.
-        return Verdict.NO_ANSWER, None, (), ()
+        return Verdict.NO_ANSWER, None, (), (), 0
     verdict = _VERDICT_BY_STATUS.get(status, Verdict.REJECTED)
     if status == 409:
         verdict = _VERDICT_BY_REASON.get(response.reason, Verdict.REJECTED)
-    return verdict, response.clock_ms, running, ended
+    return verdict, response.clock_ms, running, ended, response.born
 
 
 def _decode_running(row):
--- a/buckthornshift/platform/_server_side.py
+++ b/buckthornshift/platform/_server_side.py
@@ -69,6 +69,8 @@
     """
     status, reason = _STATUS_BY_VERDICT[response.verdict]
     value = {"ClockMs": response.clock_ms}
+    if is_renewal and response.started_ms:
+        value["born"] = response.started_ms
     if reason is not None:
         value["Reason"] = reason
     elif is_renewal:
@@ -84,19 +86,20 @@
 
     :param record: the :class:`~buckthornshift.dispatch.ServerRecord`.
     """
-    return msgspec.json.encode(
-        {
-            "Service": record.service,
-            "Address": f"{record.host}:{record.port}",
-            "Zone": record.zone,
-            "State": "draining" if record.is_draining else "ready",
-            "Capacity": {
-                "Cpu": record.capacity.cpu,
-                "MemMb": record.capacity.memory_mb,
-            },
-            "Labels": list(record.labels),
-        }
-    )
+    value = {
+        "Service": record.service,
+        "Address": f"{record.host}:{record.port}",
+        "Zone": record.zone,
+        "State": "draining" if record.is_draining else "ready",
+        "Capacity": {
+            "Cpu": record.capacity.cpu,
+            "MemMb": record.capacity.memory_mb,
+        },
+        "Labels": list(record.labels),
+    }
+    if record.started_ms:
+        value["born"] = record.started_ms
+    return msgspec.json.encode(value)
 
 
 def encode_configuration(configuration):
--- a/buckthornshift/serving/_server_client.py
+++ b/buckthornshift/serving/_server_client.py
@@ -125,7 +125,7 @@
         self._preconnect_task = None
 
     async def _send_start(self, pool, action):
-        verdict, clock_ms, _, _ = await self._request(
+        verdict, clock_ms, *_ = await self._request(
             pool, START_PATH, encode_start(action)
         )
         self.post(
@@ -139,7 +139,7 @@
         )
 
     async def _send_stop(self, pool, action):
-        verdict, clock_ms, _, _ = await self._request(
+        verdict, clock_ms, *_ = await self._request(
             pool, STOP_PATH, encode_stop(action)
         )
         self.post(
@@ -153,7 +153,7 @@
         )
 
     async def _send_renewal(self, pool, action):
-        verdict, clock_ms, running, ended = await self._request(
+        verdict, clock_ms, running, ended, started_ms = await self._request(
             pool,
             LEASE_RENEWAL_PATH,
             encode_lease_renewal(action),
@@ -168,6 +168,7 @@
                 clock_ms=clock_ms,
                 running=running,
                 ended=ended,
+                started_ms=started_ms,
             )
         )
 
@@ -177,7 +178,7 @@
                 "POST", path, body, timeout_s=self.timeout_s + extra_timeout_s
             )
         except NotSentError:
-            return Verdict.NOT_SENT, None, (), ()
+            return Verdict.NOT_SENT, None, (), (), 0
         except ConnectionLostError:
-            return Verdict.NO_ANSWER, None, (), ()
+            return Verdict.NO_ANSWER, None, (), (), 0
         return decode_server_response(status, response_body)
--- a/buckthornshift/standins/_task_server.py
+++ b/buckthornshift/standins/_task_server.py
@@ -64,18 +64,21 @@
         response to a lease renewal.
     :param ended: :class:`~buckthornshift.dispatch.EndedTask` objects that are not
         acknowledged yet, in the response to a lease renewal.
+    :param started_ms: when the process started, in milliseconds since the epoch; 0 if
+        it doesn't say.
     """
 
     verdict: Verdict = Verdict.DONE
     clock_ms: int | None = None
     running: tuple = ()
     ended: tuple = ()
+    started_ms: int = 0
 
 
 class TaskServerModel:
     """One process of a backend server; it starts every run that it is told to start.
 
-    :param server_id: id of the server; a restarted server gets another one.
+    :param server_id: id of the server; a restarted server may keep it.
     :param capacity: its :class:`~buckthornshift.dispatch.Resources`.
     :param speed: factor by which tasks run faster than their planned run time.
     :param clock_rate: rate of its clock relative to real time; the clock may be up to
@@ -84,6 +87,8 @@
     :param plan_run: called with a task's name; returns its duration in ms and
         whether it fails.
     :param observer: has ``on_run_started`` and ``on_run_ended``, called for every run.
+    :param started_ms: when it started, in milliseconds since the epoch; 0 to leave it
+        out of responses.
     """
 
     def __init__(
@@ -95,6 +100,7 @@
         clock_start_ms=0.0,
         plan_run=None,
         observer=None,
+        started_ms=0,
     ):
         self.server_id = server_id
         self.capacity = capacity or Resources()
@@ -103,6 +109,7 @@
         self.clock_start_ms = clock_start_ms
         self.plan_run = plan_run
         self.observer = observer
+        self.started_ms = started_ms
         self.faults = TaskServerFaults()
         self.token = 0
         self.run_by_task = {}
@@ -241,6 +248,7 @@
             clock_ms=int(self.read_clock(now_ms)),
             running=running,
             ended=ended,
+            started_ms=self.started_ms,
         )
 
 
--- a/tests/platform/test_platform_documents.py
+++ b/tests/platform/test_platform_documents.py
@@ -47,6 +47,9 @@
     assert (server.host, server.port, server.is_draining) == ("10.0.0.9", 8080, False)
     assert server.capacity == Resources(cpu=16000, memory_mb=32768)
     assert decode_server("i", encode(SERVER | {"State": "draining"})).is_draining
+    assert server.started_ms == 0
+    restarted = decode_server("i-1", encode(SERVER | {"born": 1_800_000_000_123}))
+    assert restarted.started_ms == 1_800_000_000_123
 
 
 @pytest.mark.parametrize(
--- a/tests/platform/test_protocols.py
+++ b/tests/platform/test_protocols.py
@@ -74,7 +74,7 @@
 )
 def test_rows_of_other_types_count_as_no_answer(lists):
     body = json.dumps({"ClockMs": 5, **lists}).encode()
-    assert decode_server_response(200, body) == (Verdict.NO_ANSWER, None, (), ())
+    assert decode_server_response(200, body) == (Verdict.NO_ANSWER, None, (), (), 0)
 
 
 def test_running_and_ended_tasks_are_decoded():
@@ -85,8 +85,8 @@
             "Ended": [[58, "c", 1, "alone", ""], [59, "d", 3, "done", ""]],
         }
     ).encode()
-    _, clock_ms, running, ended = decode_server_response(200, body)
-    assert clock_ms == 5
+    _, clock_ms, running, ended, started_ms = decode_server_response(200, body)
+    assert (clock_ms, started_ms) == (5, 0)
     assert [(r.task, r.run, r.percent) for r in running] == [
         ("a", 1, 41.0),
         ("b", 2, 7.0),
@@ -97,6 +97,19 @@
     ]
 
 
+@pytest.mark.parametrize(
+    ("body", "expected"),
+    [
+        (b'{"ClockMs": 5, "born": 1800000000123}', (Verdict.DONE, 1_800_000_000_123)),
+        (b'{"ClockMs": 5}', (Verdict.DONE, 0)),
+        (b'{"ClockMs": 5, "born": "now"}', (Verdict.NO_ANSWER, 0)),
+    ],
+)
+def test_start_of_the_server_is_decoded(body, expected):
+    verdict, *_, started_ms = decode_server_response(200, body)
+    assert (verdict, started_ms) == expected
+
+
 @pytest.mark.parametrize(
     ("action", "status"),
     [
