FIX Entries that can't be read, and services that no queue names, are left out

Cause: after an entry that could not be read, the earlier entry of the server stayed in use. A port such as "²" or an id with a line break raised outside of the decoder, and a host name that can't be encoded left a renewal without an answer. A server whose service no queue names was claimed; if it never answered, every claim of its cell stayed incomplete.

Change: an unreadable entry replaces a readable one. The server gets no new task at once (its runs end by themselves) and leaves the list like one whose entry vanished. Ids, hosts, ports and amounts are checked. Servers of a service that no queue of a known configuration names are neither claimed nor counted, also not for the number of cells.

--- a/buckthornshift/dispatch/_events.py
+++ b/buckthornshift/dispatch/_events.py
@@ -72,9 +72,11 @@
     """The list of backend servers was read from the store.
 
     :param servers: the complete list.
+    :param unreadable_ids: ids of the servers whose entries can't be read.
     """
 
     servers: tuple[ServerRecord, ...] = ()
+    unreadable_ids: tuple[str, ...] = ()
 
 
 @attrs.frozen(kw_only=True)
--- a/buckthornshift/dispatch/_fleet.py
+++ b/buckthornshift/dispatch/_fleet.py
@@ -236,6 +236,8 @@
         self.by_id = {}
         self.records = ()
         self._by_id_by_cell = [{}]
+        self._services = None
+        self._services_version = 0
 
     def assign_cells(self, n_cells):
         """Assign each server to one of a number of cells."""
@@ -252,12 +254,29 @@
         self.by_id.pop(server.id, None)
         self._by_id_by_cell[server.cell].pop(server.id, None)
 
-    def update_list(self, records):
+    def is_in_use(self, server):
+        """Return whether a queue names the service of a server.
+
+        Without a configuration, every server may be in use.
+        """
+        services = self._find_services()
+        return services is None or server.record.service in services
+
+    def count_in_use(self):
+        """Return how many listed servers have a service that a queue names."""
+        services = self._find_services()
+        if services is None:
+            return len(self.records)
+        return sum(record.service in services for record in self.records)
+
+    def update_list(self, records, unreadable_ids=()):
         """Replace the list of servers.
 
         An entry of a former incarnation of a server doesn't replace a newer one.
 
         :param records: the :class:`ServerRecord` of every listed server.
+        :param unreadable_ids: ids of unlisted servers whose entries can't be read; they
+            get no new tasks.
         :returns: lists of added, changed and newly unlisted servers.
         """
         added, changed, unlisted = [], [], []
@@ -283,6 +302,8 @@
             if server.id not in record_by_id and server.unlisted_since_ms is None:
                 server.unlisted_since_ms = self.context.now_ms
                 unlisted.append(server)
+            if server.id in unreadable_ids and not server.record.is_draining:
+                server.update_record(attrs.evolve(server.record, is_draining=True))
         return added, changed, unlisted
 
     def digest(self):
@@ -446,6 +467,14 @@
             for server in self.list_servers(cell)
         )
 
+    def _find_services(self):
+        """Return the services that queues name; ``None`` without a configuration."""
+        configuration = self.context.configuration
+        if configuration.version != self._services_version:
+            self._services_version = configuration.version
+            self._services = {queue.service for queue in configuration.queues}
+        return self._services
+
     def _is_being_claimed(self, server):
         return (
             server.ownership is Ownership.CLAIMING
--- a/buckthornshift/dispatch/_leases.py
+++ b/buckthornshift/dispatch/_leases.py
@@ -336,6 +336,8 @@
             return
         if server.ownership is not Ownership.NONE or server.is_replaced:
             return
+        if not self.fleet.is_in_use(server):
+            return
         if self._is_held_elsewhere(server):
             return
         server.ownership = Ownership.CLAIMING
@@ -501,9 +503,14 @@
         if self.list_follower.may_be_stale and age_ms < all_lapsed_ms:
             # Tasks may run on a server that is missing from the list.
             return 0
-        servers = [s for s in self.fleet.list_servers(cell) if not s.is_replaced]
+        servers = [s for s in self.fleet.list_servers(cell) if self._counts(s)]
         if not all(
             s.ownership is Ownership.OWNED and not s.awaits_listing for s in servers
         ):
             return 0
         return min((s.token >> TOKEN_RANDOM_BITS for s in servers), default=0)
+
+    def _counts(self, server):
+        """Return whether tasks may run on a server, so that a claim has to cover it."""
+        is_in_use = self.fleet.is_in_use(server) or server.is_held
+        return is_in_use and not server.is_replaced
--- a/buckthornshift/dispatch/_list_follower.py
+++ b/buckthornshift/dispatch/_list_follower.py
@@ -59,7 +59,7 @@
 
     def on_servers_read(self, event):
         """Apply a list that was read from the store, and publish it."""
-        self._update_list(event.servers)
+        self._update_list(event.servers, event.unreadable_ids)
         self.list_publisher.publish()
 
     def on_peer_message(self, event):
@@ -79,7 +79,7 @@
 
     def on_housekeeping(self, message):
         """Grow the number of cells if due; note whether the list may be stale."""
-        self.cells.grow_if_oversized(len(self.fleet.records))
+        self.cells.grow_if_oversized(self.fleet.count_in_use())
         if not self.cells.is_owner and not self.membership.is_self_hub:
             # This instance is sent no changes, and entries may be missing in the store.
             self.may_be_stale = True
@@ -117,9 +117,9 @@
         if unknown:
             self._update_list((*self.fleet.records, *unknown))
 
-    def _update_list(self, records):
+    def _update_list(self, records, unreadable_ids=()):
         context = self.context
-        added, changed, unlisted = self.fleet.update_list(records)
+        added, changed, unlisted = self.fleet.update_list(records, unreadable_ids)
         for server in added:
             context.log(LogCode.SERVER_LISTED, server.id, service=server.record.service)
         for server in changed:
@@ -134,4 +134,4 @@
             context.post(ServersAdded(servers=tuple(added)))
         if added or changed or unlisted:
             context.post(ServersChanged())
-        self.cells.grow_if_oversized(len(records))
+        self.cells.grow_if_oversized(self.fleet.count_in_use())
--- a/buckthornshift/platform/_documents.py
+++ b/buckthornshift/platform/_documents.py
@@ -102,6 +102,8 @@
 _JOB_DECODER = msgspec.json.Decoder(_Job)
 _SERVER_STATES = ("ready", "draining")
 JOB_ID_CHARS = 16
+MAX_PORT = 65_535
+MAX_PORT_DIGITS = 5
 MAX_PAYLOAD_BYTES = 4_000
 # Far above the largest jobs of 340 tasks; an owner keeps an object for each task.
 MAX_TASKS_PER_JOB = 4_096
@@ -145,12 +147,19 @@
     :param server_id: id of the server, which is the key of its record.
     :param body: JSON bytes.
     :returns: a :class:`~buckthornshift.dispatch.ServerRecord`.
-    :raises UnreadableError: if the document is invalid, or its state or address is.
+    :raises UnreadableError: if the id or the document is invalid, or its state, address
+        or capacity is.
     """
     server = _decode(_SERVER_DECODER, body)
     host, _, port = server.address.rpartition(":")
-    if server.state not in _SERVER_STATES or not host or not port.isdigit():
+    # The id is sent in a header, and the host is resolved.
+    if not _is_plain(server_id) or not _is_plain(host):
+        raise UnreadableError(f"id {server_id[:40]!r}, address {server.address!r}")
+    if not _is_port(port) or server.state not in _SERVER_STATES:
         raise UnreadableError(f"state {server.state!r}, address {server.address!r}")
+    capacity = server.capacity
+    if min(capacity.cpu, capacity.mem_mb, capacity.gpu, server.born) < 0:
+        raise UnreadableError("expected a capacity and a start that are not negative")
     return ServerRecord(
         server_id=server_id,
         service=server.service,
@@ -191,6 +200,16 @@
     return JobSubmission(job=spec, unsupported=_list_unsupported(job))
 
 
+def _is_plain(text):
+    """Return whether a text is not empty and has only visible ASCII characters."""
+    return bool(text) and all("!" <= char <= "~" for char in text)
+
+
+def _is_port(text):
+    is_number = text.isascii() and text.isdigit() and len(text) <= MAX_PORT_DIGITS
+    return is_number and 0 < int(text) <= MAX_PORT
+
+
 def _decode(decoder, body):
     try:
         return decoder.decode(body)
--- a/buckthornshift/serving/_http_client.py
+++ b/buckthornshift/serving/_http_client.py
@@ -104,7 +104,8 @@
                 _, connection = await loop.create_connection(
                     _ClientConnection, self.host, self.port
                 )
-        except (OSError, TimeoutError) as error:
+        except (OSError, TimeoutError, UnicodeError) as error:
+            # A host name that can't be encoded raises UnicodeError.
             raise NotSentError(f"{self.host}:{self.port}: {error!r}") from error
         return connection
 
--- a/buckthornshift/serving/_store_watcher.py
+++ b/buckthornshift/serving/_store_watcher.py
@@ -114,7 +114,7 @@
         while not servers.list():
             batch = await self._retry(SERVERS_TOPIC, self._read_newest)
             servers.apply(batch)
-            self.post(ServersRead(servers=servers.list()))
+            self.post(servers.make_event())
             await asyncio.sleep(SERVERS_INTERVAL_S)
 
     async def _watch_servers(self):
@@ -122,7 +122,7 @@
             batch = await self._retry(SERVERS_TOPIC, self._read_newest)
             servers = _ServerList(log=self.log)
             servers.apply(batch)
-            self.post(ServersRead(servers=servers.list()))
+            self.post(servers.make_event())
             with contextlib.suppress(HistoryGoneError):
                 await self._tail_servers(servers, batch.next_offset)
 
@@ -135,7 +135,7 @@
             batch = await self._retry(SERVERS_TOPIC, read)
             offset = batch.next_offset
             if servers.apply(batch):
-                self.post(ServersRead(servers=servers.list()))
+                self.post(servers.make_event())
 
     async def _read_newest(self, topic):
         return await self.client.read_newest(topic)
@@ -182,7 +182,7 @@
     def __init__(self, log=None):
         self.log = log
         self._server_by_id = {}
-        self._value_by_id = {}
+        self._unreadable_ids = set()
 
     def apply(self, batch):
         """Apply records, oldest first, and return whether the list has changed.
@@ -198,16 +198,27 @@
         """Return a :class:`~buckthornshift.dispatch.ServerRecord` for each server."""
         return tuple(self._server_by_id.values())
 
+    def make_event(self):
+        """Return a :class:`~buckthornshift.dispatch.ServersRead` with the list."""
+        return ServersRead(
+            servers=self.list(), unreadable_ids=tuple(sorted(self._unreadable_ids))
+        )
+
     def _apply_record(self, record):
         previous = self._server_by_id.get(record.key)
+        self._unreadable_ids.discard(record.key)
         if not record.value:
             self._server_by_id.pop(record.key, None)
             return previous is not None
         try:
             server = decode_server(record.key, record.value)
         except UnreadableError as error:
+            # Other programs write entries as well. The former entry of the server may
+            # no longer be true.
+            self._server_by_id.pop(record.key, None)
+            self._unreadable_ids.add(record.key)
             _log_ignored_record(self.log, SERVERS_TOPIC, record.key, error)
-            return False
+            return previous is not None
         self._server_by_id[record.key] = server
         return server != previous
 
--- a/tests/platform/test_platform_documents.py
+++ b/tests/platform/test_platform_documents.py
@@ -63,6 +63,12 @@
         encode(SERVER | {"State": "lost"}),
         encode(SERVER | {"Address": "nowhere"}),
         encode(SERVER | {"Address": 5}),
+        encode(SERVER | {"Address": "10.0.0.9:\u00b2"}),
+        encode(SERVER | {"Address": "10.0.0.9:70000"}),
+        encode(SERVER | {"Address": "10.0.0.9\r\nX: y:80"}),
+        encode(SERVER | {"Capacity": {"Cpu": -1, "MemMb": 1}}),
+        encode(SERVER | {"born": "yesterday"}),
+        encode(SERVER | {"born": -5}),
         encode(SERVER | {"Capacity": None}),
         encode({k: v for k, v in SERVER.items() if k != "Capacity"}),
     ],
@@ -72,6 +78,11 @@
         decode_server("i", body)
 
 
+def test_a_server_id_that_does_not_fit_in_a_header_is_rejected():
+    with pytest.raises(UnreadableError):
+        decode_server("i\r\nHost: x", encode(SERVER))
+
+
 def test_a_configuration_is_decoded():
     body = encode(
         {
--- a/tests/serving/test_http_client.py
+++ b/tests/serving/test_http_client.py
@@ -28,6 +28,12 @@
         asyncio.run(HttpConnectionPool(port=1).call("GET", "/"))
 
 
+# Guards against a renewal that is never answered, so that its server stays claimed.
+def test_a_host_name_that_can_not_be_encoded_raises_not_sent():
+    with pytest.raises(NotSentError):
+        asyncio.run(HttpConnectionPool(host="a..b", port=1).call("GET", "/"))
+
+
 def test_a_timeout_raises_connection_lost():
     with pytest.raises(ConnectionLostError):
         asyncio.run(call_server(lambda exchange: None))
