FEA Stand-in servers restart under their ids

FleetPlatform.restart_server ends a server and starts one with the same id, a later start, another port and clock, and possibly another capacity. The start is in its entry and in its lease responses.

--- a/buckthornshift/standins/_fleet_platform.py
+++ b/buckthornshift/standins/_fleet_platform.py
@@ -24,6 +24,7 @@
 TICK_INTERVAL_S = 0.005
 # Range of the delay after which a late command is executed.
 LATE_EXECUTION_DELAY_S = (1.0, 4.0)
+FULL_CAPACITY = Resources(cpu=16_000, memory_mb=32_768)
 SERVERS_TOPIC = "keyed.servers"
 CONFIGURATION_TOPIC = "keyed.op"
 
@@ -177,6 +178,13 @@
             else:
                 self._waiting_renewals.append((exchange, end_ms))
 
+    def kill(self):
+        """End the process abruptly: its runs are lost, its connections close."""
+        self.is_killed = True
+        self.model.advance(read_monotonic_ms())
+        self.model.abort_all_runs()
+        self.close()
+
     def close(self):
         """Stop listening."""
         self._server.close()
@@ -288,8 +296,26 @@
         :param index: selects the rate and the start of its clock.
         """
         self._n_servers_started += 1
-        server_id = f"i-{self._n_servers_started:04d}"
-        capacity = Resources(cpu=16_000, memory_mb=32_768)
+        await self._start_server(f"i-{self._n_servers_started:04d}", index)
+
+    async def restart_server(self, server, capacity=FULL_CAPACITY):
+        """Kill a server and start one with its id, on another port.
+
+        :param server: the :class:`TaskServerStandin`.
+        :param capacity: the :class:`~buckthornshift.dispatch.Resources` that the new
+            one declares.
+        """
+        server.kill()
+        server_id = server.record.server_id
+        # Later than the former start, also if both are in the same millisecond.
+        started_ms = max(int(time.time() * 1000.0), server.model.started_ms + 1)
+        await self._start_server(
+            server_id, self._n_servers_started, started_ms, capacity
+        )
+
+    async def _start_server(
+        self, server_id, index, started_ms=0, capacity=FULL_CAPACITY
+    ):
         model = TaskServerModel(
             server_id=server_id,
             capacity=capacity,
@@ -297,6 +323,7 @@
             clock_start_ms=1_000.0 * index,
             plan_run=self.plan_run,
             observer=self.observer,
+            started_ms=started_ms or int(time.time() * 1000.0),
         )
         record = ServerRecord(
             server_id=server_id,
@@ -305,6 +332,7 @@
             zone="zone-a",
             capacity=capacity,
             labels=("a",),
+            started_ms=model.started_ms,
         )
         server = TaskServerStandin(
             model=model, record=record, random_state=self.random_state
@@ -325,10 +353,7 @@
     def kill_server(self, server):
         """Kill a server abruptly and delete its entry from the store."""
         self.servers_by_id.pop(server.record.server_id, None)
-        server.is_killed = True
-        server.model.advance(read_monotonic_ms())
-        server.model.abort_all_runs()
-        server.close()
+        server.kill()
         self.store.put(SERVERS_TOPIC, server.record.server_id, b"")
 
     def close(self):
--- a/tests/standins/test_fleet_platform.py
+++ b/tests/standins/test_fleet_platform.py
@@ -4,12 +4,13 @@
 
 import pytest
 
-from buckthornshift.dispatch import Configuration
+from buckthornshift.dispatch import Configuration, Resources
 from buckthornshift.platform import (
     HistoryGoneError,
     StoreClient,
     StoreError,
     StoreErrorKind,
+    decode_server,
 )
 from buckthornshift.serving._http_client import HttpConnectionPool
 from buckthornshift.standins import FleetPlatform, StoreFaults
@@ -84,6 +85,23 @@
     assert remaining.key == "i-0002"
 
 
+def test_a_restarted_server_keeps_its_id_and_nothing_else():
+    async def use(platform, client):
+        server = platform.servers_by_id["i-0001"]
+        former = server.record
+        await platform.restart_server(server, capacity=Resources(cpu=8_000))
+        response = platform.servers_by_id["i-0001"].model.report_runs(0.0)
+        batch = await client.read_newest(TOPIC)
+        (value,) = (r.value for r in batch.records if r.key == "i-0001")
+        return former, decode_server("i-0001", value), response
+
+    former, record, response = asyncio.run(run_with_store(use))
+    assert record.started_ms == response.started_ms > former.started_ms
+    assert record.port != former.port
+    assert record.capacity.cpu == 8_000
+    assert response.running == response.ended == ()
+
+
 def test_a_server_is_registered_with_the_port_of_its_proxy():
     async def open_proxy(port):
         return 1
