FEA Fault server_restarts of fuzz --on fleet

In runs with this fault, servers that a task crashes return under their ids as well. Late commands that wait in a process end with it.

An unanswered start counts as a possible cause of the crash only after the call time-out, because it may still be under way when the new process lists its runs.

--- a/buckthornshift/dispatch/_server_lives.py
+++ b/buckthornshift/dispatch/_server_lives.py
@@ -98,8 +98,15 @@
             for run in missing
             if run.confirmed_ms is not None and run.confirmed_ms < event.sent_ms
         ]
-        # A task that crashes its server before it answers is suspected as well.
-        suspects = missing if server.awaits_listing else gone
+        # A task that crashes its server before it answers is suspected as well, unless
+        # its start may still be under way.
+        timeout_ms = self.context.settings.call_timeout_ms
+        unanswered = [
+            run
+            for run in missing
+            if run.confirmed_ms is None and run.sent_ms < event.sent_ms - timeout_ms
+        ]
+        suspects = [*gone, *unanswered] if server.awaits_listing else gone
         self._close_lost(server, gone, "server_restarted")
         self._record_losses(
             server,
--- a/buckthornshift/proving/fleet/_faults.py
+++ b/buckthornshift/proving/fleet/_faults.py
@@ -160,6 +160,8 @@
             case FleetFault.SERVER_SHRINKS:
                 world.shrink_server(server)
                 world.clock.schedule(SHRINK_DURATION_MS, world.restore_server, server)
+            case FleetFault.SERVER_RESTARTS:
+                world.restarts.restart(server)
             case FleetFault.SERVER_FAILS:
                 self._set_server_faults(fault, server, TaskServerFaults(fails=True))
             case FleetFault.SERVER_HANGS:
--- a/buckthornshift/proving/fleet/_machines.py
+++ b/buckthornshift/proving/fleet/_machines.py
@@ -58,6 +58,7 @@
     :param refuses_connections: whether its machine runs on without the process.
     :param waiting_renewals: long-polling lease renewals that wait until a run ends.
     :param wake_up_ms: when the next run ends; ``None`` if nothing is scheduled.
+    :param started_ms: when its latest process started, in milliseconds since the epoch.
     """
 
     name: str = ""
@@ -69,3 +70,4 @@
     refuses_connections: bool = False
     waiting_renewals: list = attrs.field(factory=list)
     wake_up_ms: float | None = None
+    started_ms: int = 0
--- a/buckthornshift/proving/fleet/_network.py
+++ b/buckthornshift/proving/fleet/_network.py
@@ -135,7 +135,9 @@
         delay_ms = self._draw_delay(instance, server)
         if draw < self.faults.late_probability:
             late_ms = random_state.uniform(*LATE_COMMAND_DELAY_MS)
-            world.clock.schedule(late_ms, self._execute_command, server, command)
+            world.clock.schedule(
+                late_ms, self._execute_late, server, server.model, command
+            )
             timeout_ms = self._get_timeout_ms(command)
             self._schedule_result(instance, command, Verdict.NO_ANSWER, timeout_ms)
             return
@@ -211,6 +213,13 @@
             else:
                 server.waiting_renewals.append((instance, key, command, end_ms))
 
+    def _execute_late(self, server, model, command):
+        """Execute a command that has waited in a process, unless that has ended."""
+        if server.model is model:
+            self._execute_command(server, command)
+        elif server.model is not None and isinstance(command, StartRun):
+            self.world.oracle.record_lost_start(command)
+
     def _execute_command(self, server, command):
         if server.model is None or server.model.server_id != command.server.server_id:
             return None
@@ -313,4 +322,5 @@
                 clock_ms=clock_ms,
                 running=() if response is None else response.running,
                 ended=() if response is None else response.ended,
+                started_ms=0 if response is None else response.started_ms,
             )
--- a/buckthornshift/proving/fleet/_plan.py
+++ b/buckthornshift/proving/fleet/_plan.py
@@ -21,7 +21,8 @@
     - ``STORE_OUTAGE`` makes the store unreachable for all, ``STORE_PARTITION`` for one
       instance; ``ENTRIES_LAPSE`` drops servers from its list for a while.
     - ``SERVER_*`` kill, drain, add, slow down, break, hang or isolate a backend server,
-      or halve its capacity for some seconds.
+      or halve its capacity for some seconds. ``SERVER_RESTARTS`` restarts one under
+      its id, at times with half of its capacity; servers report their start then.
     - ``COMMANDS_LATE`` delays commands to servers beyond their timeout;
       ``RESPONSES_LOST`` drops the responses to them.
     - ``CALLERS_DISCONNECT`` makes callers disconnect early; ``BURST`` raises the rate
@@ -54,6 +55,7 @@
     SERVER_HANGS = "server_hangs"
     SERVER_PARTITION = "server_cut"
     SERVER_SHRINKS = "server_shrinks"
+    SERVER_RESTARTS = "server_restarts"
     ENTRIES_LAPSE = "entries_lapse"
     COMMANDS_LATE = "orders_late"
     RESPONSES_LOST = "answers_lost"
--- a/buckthornshift/proving/fleet/_world.py
+++ b/buckthornshift/proving/fleet/_world.py
@@ -30,6 +30,7 @@
 from ._machines import SimulatedInstance, SimulatedServer
 from ._network import FleetNetwork
 from ._oracle import FleetOracle
+from ._server_restarts import ServerRestarts
 
 STORE_POLL_INTERVAL_MS = 300.0
 PROBE_INTERVAL_MS = 50.0
@@ -67,6 +68,7 @@
             for i in range(plan.n_instances)
         ]
         self.servers_by_id = {}
+        self.restarts = ServerRestarts(world=self)
         self.configuration = self._make_configuration(1)
         self.is_store_down = False
         self.last_outage_end_ms = 0.0
@@ -92,7 +94,7 @@
         :param index: selects its service, kind and rack.
         """
         shape = self.plan.shape
-        kind = shape.server_kinds[index % len(shape.server_kinds)]
+        kind = self.get_kind(index)
         name = f"s{len(self.servers_by_id)}"
         capacity = Resources(cpu=kind.cpu, memory_mb=shape.memory_mb)
         record = ServerRecord(
@@ -104,29 +106,47 @@
             capacity=capacity,
             labels=(kind.label, f"r-{index // shape.servers_per_rack}"),
         )
-        model = TaskServerModel(
-            server_id=name,
-            capacity=capacity,
+        server = SimulatedServer(name=name, zone=zone, index=index)
+        if self.restarts.is_planned:
+            server.started_ms = int(self.clock.wall_ms)
+        server.record = attrs.evolve(record, started_ms=server.started_ms)
+        self.start_server(server)
+        self.servers_by_id[name] = server
+        return server
+
+    def get_kind(self, index):
+        """Return the kind of the servers with an index."""
+        kinds = self.plan.shape.server_kinds
+        return kinds[index % len(kinds)]
+
+    def start_server(self, server):
+        """Let the process of a server serve requests."""
+        kind = self.get_kind(server.index)
+        server.refuses_connections = False
+        server.wake_up_ms = None
+        server.model = TaskServerModel(
+            server_id=server.name,
+            capacity=Resources(cpu=kind.cpu, memory_mb=self.plan.shape.memory_mb),
             speed=kind.speed,
             clock_rate=self.random_state.choice((1.0, 0.99, 0.98)),
             clock_start_ms=self.random_state.uniform(0.0, 1e6),
-            plan_run=lambda task: self._plan_run(name, task),
+            plan_run=lambda task: self._plan_run(server.name, task),
             observer=self.observer,
+            started_ms=server.started_ms,
         )
-        server = SimulatedServer(
-            name=name, zone=zone, model=model, index=index, record=record
-        )
-        self.servers_by_id[name] = server
-        return server
 
-    def kill_server(self, server):
-        """Kill a server abruptly; its entry leaves the store 3 s later."""
-        if server.model is None:
-            return
+    def terminate_server(self, server):
+        """End the process of a server abruptly."""
         server.model.advance(self.clock.now_ms)
         server.model.abort_all_runs()
         server.model = None
         self.network.respond_to_waiting_renewals(server)
+
+    def kill_server(self, server):
+        """Kill a server abruptly; its entry leaves the store 3 s later."""
+        if server.model is None:
+            return
+        self.terminate_server(server)
         self.clock.schedule(3_000.0, self._deregister, server)
 
     def crash_server(self, server):
@@ -137,6 +157,9 @@
         if server.model is None:
             return
         self.oracle.record_crash(server.model)
+        if self.restarts.is_planned:
+            self.restarts.restart(server)
+            return
         self.kill_server(server)
         server.refuses_connections = True
         self.clock.schedule(
--- a/tests/proving/fleet/test_fleet_mutations.py
+++ b/tests/proving/fleet/test_fleet_mutations.py
@@ -11,6 +11,7 @@
     Verdict,
 )
 from buckthornshift.dispatch._core import DispatchCore
+from buckthornshift.dispatch._crash_history import CrashHistory
 from buckthornshift.dispatch._fleet import Fleet, Server
 from buckthornshift.dispatch._owner_jobs import OwnerJobs
 from buckthornshift.dispatch._request_router import RequestRouter
@@ -204,6 +205,17 @@
     )
 
 
+def forget_crashes_of_servers_that_respond(monkeypatch):
+    """Clear the losses of every incarnation of a server when it responds."""
+
+    def forget_all(self, server):
+        for key in list(self._loss_by_key):
+            if key[0] == server.id:
+                self._forget(key)
+
+    monkeypatch.setattr(CrashHistory, "forget_response", forget_all)
+
+
 def ignore_reduced_capacity(monkeypatch):
     """Keep using the capacity that a server declared first."""
     update_record = Server.update_record
@@ -217,6 +229,11 @@
 MUTATIONS = [
     (ignore_reduced_capacity, FleetRule.CAPACITY, [FleetFault.SERVER_SHRINKS]),
     (forget_lost_runs, FleetRule.BUDGET, [FleetFault.TASKS_CRASH_SERVERS]),
+    (
+        forget_crashes_of_servers_that_respond,
+        FleetRule.BUDGET,
+        [FleetFault.SERVER_RESTARTS, FleetFault.TASKS_CRASH_SERVERS],
+    ),
     (ignore_capacity, FleetRule.CAPACITY, [FleetFault.BURST]),
     (
         free_capacity_on_stop_request,
--- a/tests/proving/fleet/test_fleet_seeds.py
+++ b/tests/proving/fleet/test_fleet_seeds.py
@@ -20,6 +20,7 @@
     FleetFault.LINK_FULL,
     FleetFault.TASKS_CRASH_SERVERS,
     FleetFault.SERVER_SHRINKS,
+    FleetFault.SERVER_RESTARTS,
 )
 FORMER_KINDS = [kind for kind in FleetFault if kind not in NEWER_KINDS]
 
