--- a/buckthornshift/dispatch/_events.py
+++ b/buckthornshift/dispatch/_events.py
@@ -86,9 +86,11 @@
     """The list of backend servers was read from the store.
 
     :param servers: the complete list.
+    :param unreadable_ids: ids of the servers whose entries can't be read.
     """
 
     servers: tuple[ServerRecord, ...] = ()
+    unreadable_ids: tuple[str, ...] = ()
 
 
 @attrs.frozen(kw_only=True)
@@ -217,6 +219,8 @@
     :param clock_ms: the server's clock; ``None`` if the response has none.
     :param running: the runs that the server reports as running.
     :param ended: the ended runs that are not acknowledged yet, oldest first.
+    :param started_ms: when the process that responds started, in milliseconds since
+        the epoch; 0 if unknown.
     """
 
     server_id: str = ""
@@ -226,6 +230,7 @@
     clock_ms: int | None = None
     running: tuple[RunningTask, ...] = ()
     ended: tuple[EndedTask, ...] = ()
+    started_ms: int = 0
 
 
 @attrs.frozen(kw_only=True)
--- a/tests/proving/fleet/test_fleet_mutations.py
+++ b/tests/proving/fleet/test_fleet_mutations.py
@@ -11,10 +11,12 @@
     Verdict,
 )
 from buckthornshift.dispatch._core import DispatchCore
+from buckthornshift.dispatch._crash_history import CrashHistory
 from buckthornshift.dispatch._fleet import Fleet, Server
 from buckthornshift.dispatch._owner_jobs import OwnerJobs
 from buckthornshift.dispatch._request_router import RequestRouter
 from buckthornshift.dispatch._runs import RunTracker
+from buckthornshift.dispatch._server_lives import ServerLives
 from buckthornshift.proving.fleet import FleetFault, FleetRule, run_fleet_seed
 from buckthornshift.standins import TaskServerModel
 
@@ -199,10 +201,21 @@
 def forget_lost_runs(monkeypatch):
     """Start a task again however many servers have crashed under it."""
     monkeypatch.setattr(
-        RunTracker, "_record_losses", lambda self, server, runs: None, raising=False
+        ServerLives, "_record_losses", lambda self, server, runs, is_former: None
     )
 
 
+def forget_crashes_of_servers_that_respond(monkeypatch):
+    """Clear the losses of every incarnation of a server when it responds."""
+
+    def forget_all(self, server):
+        for key in list(self._loss_by_key):
+            if key[0] == server.id:
+                self._forget(key)
+
+    monkeypatch.setattr(CrashHistory, "forget_response", forget_all)
+
+
 def ignore_reduced_capacity(monkeypatch):
     """Keep using the capacity that a server declared first."""
     update_record = Server.update_record
@@ -222,6 +235,11 @@
     (start_in_evacuated_zones, FleetRule.EVACUATED, [FleetFault.EVACUATION]),
     (ignore_reduced_capacity, FleetRule.CAPACITY, [FleetFault.SERVER_SHRINKS]),
     (forget_lost_runs, FleetRule.BUDGET, [FleetFault.TASKS_CRASH_SERVERS]),
+    (
+        forget_crashes_of_servers_that_respond,
+        FleetRule.BUDGET,
+        [FleetFault.SERVER_RESTARTS, FleetFault.TASKS_CRASH_SERVERS],
+    ),
     (ignore_capacity, FleetRule.CAPACITY, [FleetFault.BURST]),
     (
         free_capacity_on_stop_request,
--- a/tests/proving/fleet/test_fleet_seeds.py
+++ b/tests/proving/fleet/test_fleet_seeds.py
@@ -21,6 +21,7 @@
     FleetFault.TASKS_CRASH_SERVERS,
     FleetFault.SERVER_SHRINKS,
     FleetFault.EVACUATION,
+    FleetFault.SERVER_RESTARTS,
 )
 FORMER_KINDS = [kind for kind in FleetFault if kind not in NEWER_KINDS]
 
