TST Sites of the two deployments whose servers differ in speed

Cause: no load site had servers of clearly different speed, outliers in run times, or objectives that don't depend on the drawn time of a job's longest task.

A site may state the share of tasks that take several times as long, and that objectives are based on a job's mean run time. Traffic of the other sites is drawn as before.

--- a/buckthornshift/load/fleet/_sites.py
+++ b/buckthornshift/load/fleet/_sites.py
@@ -51,6 +51,10 @@
         earns the lower credit; after that it earns nothing.
     :param timeout_slack_ms: how long callers wait beyond that.
     :param run_to_estimate_ratio: mean ratio of real run times to estimates.
+    :param outlier_share: share of the tasks that take ``outlier_factor`` times as long.
+    :param outlier_factor: factor on the run times of these tasks.
+    :param is_objective_nominal: whether latency objectives are based on the mean run
+        time of a job's tasks, and not on the drawn time of its longest one.
     :param retry_delay_ms: delay before callers send a request again.
     :param n_zones: number of availability zones.
     :param n_instances: number of dispatching instances.
@@ -72,6 +76,9 @@
     late_factor: float = 3.0
     timeout_slack_ms: float = 1_500.0
     run_to_estimate_ratio: float = 1.3
+    outlier_share: float = 0.0
+    outlier_factor: float = 1.0
+    is_objective_nominal: bool = False
     retry_delay_ms: float = 1_300.0
     n_zones: int = 3
     n_instances: int = 9
@@ -185,6 +192,68 @@
     inter_zone_delay_ms=1.4,
     client_delay_ms=1.0,
 )
+
+
+def _make_uneven_site(name, rates_per_s, run_times_ms, speeds, **parameters):
+    """Return a site of docs/design/19-hard-load.md whose servers differ in speed.
+
+    :param name: name of the site.
+    :param rates_per_s: requests per second by priority.
+    :param run_times_ms: mean run times of tasks by priority.
+    :param speeds: speeds of the servers, taken in turn.
+    """
+    credits = (0.0291, 0.01, 0.16)
+    widths = (8, 2, 4)
+    kinds = tuple(
+        RequestKind(
+            name=f"priority-{priority}",
+            weight=rates_per_s[priority],
+            n_tasks=widths[priority],
+            max_tasks=4 * widths[priority],
+            run_ms=run_times_ms[priority],
+            max_run_ms=4.0 * run_times_ms[priority],
+            credit=credits[priority],
+            late_credit=0.2 * credits[priority],
+            priority=priority,
+        )
+        for priority in range(len(widths))
+    )
+    server_kinds = zip("aab", (32_000, 32_000, 48_000), speeds, strict=True)
+    return Site(
+        name=name,
+        service=name,
+        kinds=kinds,
+        rate_per_s=sum(rates_per_s),
+        task_cpu=16_000.0,
+        max_task_cpu=24_000.0,
+        target_ms=62.0,
+        run_to_estimate_ratio=1.0,
+        is_objective_nominal=True,
+        n_servers=176,
+        server_kinds=tuple(
+            ServerKind(label=label, cpu=cpu, speed=speed)
+            for label, cpu, speed in server_kinds
+        ),
+        **parameters,
+    )
+
+
+SKIPS = _make_uneven_site(
+    name="skips",
+    rates_per_s=(103.0, 300.0, 18.7),
+    run_times_ms=(60.0, 200.0, 900.0),
+    speeds=(0.8, 1.0, 1.25),
+    n_instances=44,
+)
+SPLITS = _make_uneven_site(
+    name="splits",
+    rates_per_s=(90.7, 264.0, 16.5),
+    run_times_ms=(51.0, 170.0, 760.0),
+    speeds=(0.7, 0.7, 1.7),
+    n_instances=30,
+    outlier_share=1.0 / 33.0,
+    outlier_factor=7.0,
+)
 # Request rate of the grown sites, relative to the present ones.
 GROWN_RATE_FACTOR = 6.0
 SITES_BY_NAME = {
@@ -192,6 +261,15 @@
     for site in (
         TREASURY,
         PATROL,
+        SKIPS,
+        SPLITS,
+        attrs.evolve(
+            SKIPS,
+            name="skips-even",
+            server_kinds=tuple(
+                attrs.evolve(kind, speed=1.0) for kind in SKIPS.server_kinds
+            ),
+        ),
         attrs.evolve(
             TREASURY,
             name="treasury-grown",
--- a/buckthornshift/load/fleet/_traffic.py
+++ b/buckthornshift/load/fleet/_traffic.py
@@ -121,7 +121,15 @@
     credit_factor = min(
         MAX_CREDIT_FACTOR, BASE_CREDIT_FACTOR + (1.0 - BASE_CREDIT_FACTOR) * size
     )
-    chain_ms = _compute_chain_ms(site, n_tasks, need_cpu, max(run_ms_by_task.values()))
+    longest_run_ms = max(run_ms_by_task.values())
+    if site.is_objective_nominal:
+        longest_run_ms = site.run_to_estimate_ratio * mean_run_ms
+    if site.outlier_share:
+        outliers = [n for n in run_ms_by_task if _is_outlier(site, random_state)]
+        for name in outliers:
+            run_ms_by_task[name] *= site.outlier_factor
+        longest_run_ms *= site.outlier_factor if outliers else 1.0
+    chain_ms = _compute_chain_ms(site, n_tasks, need_cpu, longest_run_ms)
     objective_ms = site.stretch * chain_ms + site.target_ms
     late_ms = site.late_factor * objective_ms
     timeout_ms = late_ms + site.timeout_slack_ms
@@ -152,6 +160,10 @@
     return longest_run_ms * max(1.0, 4.0 * n_tasks / max(1, n_slots))
 
 
+def _is_outlier(site, random_state):
+    return random_state.random() < site.outlier_share
+
+
 def _draw_lognormal(mean, sigma, random_state):
     """Draw from a log-normal distribution with a given mean."""
     return mean * random_state.lognormvariate(-sigma * sigma / 2.0, sigma)
