FEA Tasks are placed by the speed of servers and kinds, learnt from run times

Cause: remaining capacity ranked before speed, so that tasks went to servers 2.4 times slower while fast ones were idle.

Change: ServerSpeeds learns the speed of each kind (labels without the rack) and the deviation of each server from it, from the logarithm of actual over estimated run times; the part of a queue's estimates is separate, one run has a bounded effect, and only ends "done" count. Where kinds differ by more than 15 %, the fastest servers come first; while less than half of the fast servers' capacity is free, the slowest server on which a task is expected in time comes first. Remaining capacity decides between servers of one speed. The critical path for admission is that on the fastest servers with room. A server that is much slower than its kind for three jobs in a row gets one task at a time, after all others, until its runs are normal. Where speeds are equal, every server has the same rank, and the order is the present one.

--- a/buckthornshift/dispatch/_core.py
+++ b/buckthornshift/dispatch/_core.py
@@ -35,6 +35,7 @@
 from ._request_router import RequestRouter
 from ._runs import RunTracker
 from ._scheduler import TaskScheduler
+from ._server_speeds import ServerSpeeds
 from ._settings import DispatchIdentity, DispatchSettings
 from ._shutdown import GracefulShutdown
 
@@ -141,6 +142,11 @@
             context=context, membership=self.membership, fleet=self.fleet
         )
         self.duration_estimator = DurationEstimator()
+        self.server_speeds = ServerSpeeds(
+            context=context,
+            fleet=self.fleet,
+            duration_estimator=self.duration_estimator,
+        )
         self.admission = AdmissionController(
             context=context,
             fleet=self.fleet,
@@ -153,6 +159,7 @@
             cells=self.cells,
             admission=self.admission,
             duration_estimator=self.duration_estimator,
+            server_speeds=self.server_speeds,
         )
         self.crash_history = CrashHistory(
             context=context,
@@ -165,6 +172,7 @@
             fleet=self.fleet,
             jobs=self.jobs,
             crash_history=self.crash_history,
+            server_speeds=self.server_speeds,
         )
         self.list_publisher = ListPublisher(
             context=context,
@@ -201,6 +209,7 @@
             jobs=self.jobs,
             runs=self.runs,
             cells=self.cells,
+            server_speeds=self.server_speeds,
         )
         self.cells.count_waiting_cpu = self.scheduler.count_waiting_cpu
         self.shutdown = GracefulShutdown(
--- a/buckthornshift/dispatch/_fleet.py
+++ b/buckthornshift/dispatch/_fleet.py
@@ -8,6 +8,7 @@
 from ._hashing import HASH_BITS, hash_name
 from ._jobs import RunPhase
 from ._peer_messages import ServerHealthReport
+from ._server_speeds import ServerSpeed
 
 # If a larger fraction of an availability zone's servers is suspected, none of them
 # counts as suspect: a fault that affects most of a zone is not one of its servers.
@@ -62,6 +63,9 @@
     :param suspect_until_ms: until when other servers are preferred to it.
     :param n_failures: consecutive failures.
     :param slowness: moving average of the ratio of actual to estimated run times.
+    :param speed: the :class:`ServerSpeed` that was learnt.
+    :param relative_slowness: factor on run times relative to the mean of the service's
+        servers; 1 where they are equally fast.
     """
 
     record: ServerRecord = ServerRecord()
@@ -89,6 +93,8 @@
     suspect_until_ms: float = 0.0
     n_failures: int = 0
     slowness: float = 1.0
+    speed: ServerSpeed = attrs.field(factory=ServerSpeed)
+    relative_slowness: float = 1.0
 
     @property
     def id(self):
--- a/buckthornshift/dispatch/_owner_jobs.py
+++ b/buckthornshift/dispatch/_owner_jobs.py
@@ -26,6 +26,7 @@
     :param cells: the :class:`Cells`.
     :param admission: the :class:`AdmissionController`.
     :param duration_estimator: the :class:`DurationEstimator`.
+    :param server_speeds: the :class:`ServerSpeeds`.
     """
 
     def __init__(
@@ -36,6 +37,7 @@
         cells=None,
         admission=None,
         duration_estimator=None,
+        server_speeds=None,
     ):
         self.context = context
         self.fleet = fleet
@@ -43,6 +45,7 @@
         self.cells = cells
         self.admission = admission
         self.duration_estimator = duration_estimator
+        self.server_speeds = server_speeds
         self.runs = None
         self.by_id = {}
         self._outcome_by_submission = {}
@@ -283,7 +286,7 @@
         return build_job(
             message,
             self.context.now_ms,
-            ratio=self.duration_estimator.get_correction(queue.name),
+            ratio=self.server_speeds.get_path_ratio(queue, need_cpu, message.cell),
             n_slots=self.fleet.count_slots(queue.service, need_cpu),
         )
 
--- a/buckthornshift/dispatch/_runs.py
+++ b/buckthornshift/dispatch/_runs.py
@@ -36,13 +36,22 @@
     :param fleet: the :class:`Fleet`.
     :param jobs: the :class:`OwnerJobs`.
     :param crash_history: the :class:`CrashHistory`.
+    :param server_speeds: the :class:`ServerSpeeds`.
     """
 
-    def __init__(self, context=None, fleet=None, jobs=None, crash_history=None):
+    def __init__(
+        self,
+        context=None,
+        fleet=None,
+        jobs=None,
+        crash_history=None,
+        server_speeds=None,
+    ):
         self.context = context
         self.fleet = fleet
         self.jobs = jobs
         self.crash_history = crash_history
+        self.server_speeds = server_speeds
         self.lease_manager = None
         self.start_timeout = AdaptiveTimeout(max_ms=context.settings.call_timeout_ms)
         self._open_runs_by_name = {}
@@ -456,6 +465,7 @@
         if estimate_ms > 0:
             ratio = actual_ms / estimate_ms
             server.slowness += SLOWNESS_GAIN * (ratio - server.slowness)
+        self.server_speeds.record_run(server, run, actual_ms)
 
     def _record_failure(self, server, task):
         task.n_failures += 1
--- a/buckthornshift/dispatch/_scheduler.py
+++ b/buckthornshift/dispatch/_scheduler.py
@@ -22,14 +22,24 @@
     :param jobs: the :class:`OwnerJobs`.
     :param runs: the :class:`RunTracker`.
     :param cells: the :class:`Cells`.
+    :param server_speeds: the :class:`ServerSpeeds`.
     """
 
-    def __init__(self, context=None, fleet=None, jobs=None, runs=None, cells=None):
+    def __init__(
+        self,
+        context=None,
+        fleet=None,
+        jobs=None,
+        runs=None,
+        cells=None,
+        server_speeds=None,
+    ):
         self.context = context
         self.fleet = fleet
         self.jobs = jobs
         self.runs = runs
         self.cells = cells
+        self.server_speeds = server_speeds
         self.is_pass_requested = False
 
     def request_pass(self, message):
@@ -39,6 +49,7 @@
     def schedule(self):
         """Start all tasks that can start now, those of the most urgent job first."""
         self.is_pass_requested = False
+        self.server_speeds.refresh_if_due()
         for cell in self.cells.list_owned():
             self._schedule_cell(cell)
 
@@ -79,7 +90,11 @@
             servers = list(self.fleet.iter_schedulable(service, cell))
             suspect_ids = self.fleet.find_suspect_ids(servers)
             candidates_by_service[service] = _CandidateServers(
-                servers, min_cpu, suspect_ids
+                servers,
+                min_cpu,
+                suspect_ids,
+                cold_ids=self.server_speeds.list_cold_ids(service),
+                is_uneven=self.server_speeds.is_uneven(service),
             )
         return candidates_by_service
 
@@ -147,20 +162,27 @@
         return self._choose_best(task, allowed, candidates)
 
     def _choose_best(self, task, servers, candidates):
+        # Of the servers up to this slowness the slowest comes first, and of the others
+        # the fastest.
+        max_slowness = 0.0
+        if self.server_speeds.are_fast_scarce(task.job.queue.service, task.job.cell):
+            max_slowness = self.server_speeds.compute_max_slowness(task)
         return min(
             servers,
-            key=lambda s: self._make_sort_key(task, s, candidates),
+            key=lambda s: self._make_sort_key(task, s, candidates, max_slowness),
             default=None,
         )
 
-    def _make_sort_key(self, task, server, candidates):
+    def _make_sort_key(self, task, server, candidates, max_slowness):
         spec = task.spec
+        slowness = server.relative_slowness
         is_remote = bool(spec.data_rack) and spec.data_rack not in server.record.labels
         return (
             server.id in task.avoided_server_ids,
             server.id in candidates.suspect_ids,
             is_remote,
-            server.slowness > SLOW_FACTOR * candidates.mean_slowness,
+            candidates.is_slow(server),
+            slowness if slowness > max_slowness else -slowness,
             server.free.cpu - spec.need.cpu,
             server.slowness,
         )
@@ -176,11 +198,18 @@
     :param min_cpu: smallest CPU need of any waiting task, in millicores; servers with
         less free are left out.
     :param suspect_ids: ids of the servers that are suspect.
+    :param cold_ids: ids of the servers that are cold.
+    :param is_uneven: whether the servers differ in speed.
     """
 
-    def __init__(self, servers, min_cpu, suspect_ids):
+    def __init__(
+        self, servers, min_cpu, suspect_ids, cold_ids=frozenset(), is_uneven=False
+    ):
         self.min_cpu = min_cpu
         self.suspect_ids = suspect_ids
+        self.cold_ids = cold_ids
+        self.is_uneven = is_uneven
+        self._probed_ids = suspect_ids | cold_ids if cold_ids else suspect_ids
         total = sum(server.slowness for server in servers)
         self.mean_slowness = total / max(1, len(servers))
         self.servers = [
@@ -207,9 +236,15 @@
 
         Some servers pass their health checks but hang or fail whatever they start. A
         suspect server therefore gets one task at a time, as a probe, until one
-        succeeds.
+        succeeds. A cold server gets one at a time until its run times are normal.
         """
-        return server.id not in self.suspect_ids or server.is_idle
+        return server.id not in self._probed_ids or server.is_idle
+
+    def is_slow(self, server):
+        """Return whether a server is much slower than others, or than its kind."""
+        if self.is_uneven or server.id in self.cold_ids:
+            return server.id in self.cold_ids
+        return server.slowness > SLOW_FACTOR * self.mean_slowness
 
     def remove_if_full(self, server):
         """Remove a server that has no room left for any waiting task."""
--- /dev/null
+++ b/tests/dispatch/test_server_speeds.py
@@ -0,0 +1,148 @@
+"""Placement on servers of different speed, and what is learnt about their speed."""
+
+import random
+
+import attrs
+import pytest
+
+from buckthornshift.dispatch import DispatchSettings, Resources, ServerRecord
+from buckthornshift.dispatch._context import DispatchContext
+from buckthornshift.dispatch._declarations import JobSpec, Queue, StepSpec
+from buckthornshift.dispatch._duration_estimator import DurationEstimator
+from buckthornshift.dispatch._fleet import Fleet, Ownership
+from buckthornshift.dispatch._jobs import Job, Run, Task
+from buckthornshift.dispatch._server_speeds import ServerSpeeds, compute_path_from_ms
+from buckthornshift.load.fleet import FleetLoadPlan, FleetLoadSimulation, summarize
+from buckthornshift.load.fleet._sites import SITES_BY_NAME
+
+# Share of the cores that the site's tasks need at load 1, on servers of speed 1.
+SPLITS_CPU_SHARE = 0.431
+QUEUE = Queue(name="q", service="s")
+
+
+class SpeedsHarness:
+    """Servers of the kinds a and b whose runs end with given speeds."""
+
+    def __init__(self, speeds=(0.7, 0.7, 1.7), n_servers=30):
+        self.context = DispatchContext(settings=DispatchSettings())
+        self.fleet = Fleet(context=self.context)
+        self.fleet.update_list(
+            [
+                ServerRecord(
+                    server_id=f"s{i}",
+                    service="s",
+                    zone=f"z{i // 10}",
+                    capacity=Resources(cpu=32_000),
+                    labels=("aab"[i % 3], f"r-{i // 8}"),
+                )
+                for i in range(n_servers)
+            ]
+        )
+        self.servers = list(self.fleet.by_id.values())
+        for server in self.servers:
+            server.ownership = Ownership.OWNED
+        self.speed_by_id = {s.id: speeds[i % 3] for i, s in enumerate(self.servers)}
+        self.random_state = random.Random(1)
+        self.speeds = ServerSpeeds(
+            context=self.context,
+            fleet=self.fleet,
+            duration_estimator=DurationEstimator(),
+        )
+        self.n_jobs = 0
+
+    def end_runs(self, n_runs, servers=None, outlier_share=0.0):
+        """End runs whose estimates are off by 40 %."""
+        for _ in range(n_runs):
+            self.context.now_ms += 1.0
+            server = self.random_state.choice(servers or self.servers)
+            factor = self.random_state.lognormvariate(0.0, 0.4)
+            if self.random_state.random() < outlier_share:
+                factor *= 7.0
+            self.n_jobs += 1
+            job = Job(spec=JobSpec(job_id=f"{self.n_jobs:016x}"), queue=QUEUE)
+            task = Task(name="t", spec=StepSpec(estimate_ms=100.0), job=job)
+            actual_ms = 100.0 * factor / self.speed_by_id[server.id]
+            self.speeds.record_run(server, Run(task=task, name="t"), actual_ms)
+            self.speeds.refresh_if_due()
+
+    def measure_ratio(self):
+        """Return the learnt ratio of the run times of kind a to those of kind b."""
+        return self.servers[0].relative_slowness / self.servers[2].relative_slowness
+
+
+def run_load(cpu_share):
+    """Run a load that needs a share of the cores on a third of the site's servers.
+
+    :returns: the records of the requests after the speeds were learnt.
+    """
+    site = SITES_BY_NAME["splits"]
+    rate_per_s = site.rate_per_s * 60 / site.n_servers
+    site = attrs.evolve(site, n_instances=3, n_servers=60, rate_per_s=rate_per_s)
+    load = cpu_share / SPLITS_CPU_SHARE
+    plan = FleetLoadPlan(site=site, load=load, length_ms=8_000.0)
+    result = FleetLoadSimulation(plan=plan).run()
+    assert result.violation == ""
+    return [record for record in result.records if record.at_ms > 1_500.0]
+
+
+def test_kinds_of_0_7_and_1_7_at_a_load_of_0_4():
+    """Long tasks went to servers 2.4 times slower while fast ones were idle."""
+    records = run_load(cpu_share=0.4)
+    assert summarize(records).by_fate["late"] < 0.02
+    long_jobs = [r for r in records if r.kind == "priority-2"]
+    assert summarize(long_jobs).by_fate["late"] < 0.05
+
+
+def test_kinds_of_0_7_and_1_7_at_a_load_of_0_9():
+    """Preferring fast servers must not leave slow ones idle under high load."""
+    summary = summarize(run_load(cpu_share=0.9))
+    assert summary.by_fate["in_time"] > 0.80
+    assert summary.by_fate["no_answer"] == 0.0
+
+
+def test_servers_of_equal_speed_keep_a_relative_slowness_of_one():
+    """Noise in run times would change the order of equal servers."""
+    harness = SpeedsHarness(speeds=(1.0, 1.0, 1.0))
+    harness.end_runs(5_000)
+    assert {s.relative_slowness for s in harness.servers} == {1.0}
+    ratio = harness.speeds.duration_estimator.get_correction("q")
+    assert harness.speeds.get_path_ratio(QUEUE, 16_000, 0) == ratio
+
+
+@pytest.mark.parametrize("outlier_share", [0.0, 1.0 / 33.0])
+def test_speeds_are_learnt_though_one_task_in_33_takes_seven_times(outlier_share):
+    harness = SpeedsHarness()
+    harness.end_runs(2_000, outlier_share=outlier_share)
+    assert harness.measure_ratio() == pytest.approx(1.7 / 0.7, rel=0.15)
+    kinds = {s.record.labels[0]: set() for s in harness.servers}
+    for server in harness.servers:
+        kinds[server.record.labels[0]].add(server.relative_slowness)
+    # Otherwise remaining capacity would not decide between servers of one kind.
+    assert all(len(values) == 1 for values in kinds.values())
+
+
+def test_slow_server_is_cold_after_a_few_runs_and_recovers():
+    harness = SpeedsHarness()
+    harness.end_runs(2_000)
+    slow = harness.servers[0]
+    harness.speed_by_id[slow.id] = 0.7 / 5.0
+    harness.end_runs(8, servers=[slow])
+    harness.context.now_ms += 200.0
+    harness.speeds.refresh_if_due()
+    assert harness.speeds.list_cold_ids("s") == {slow.id}
+    harness.speed_by_id[slow.id] = 0.7
+    harness.end_runs(15, servers=[slow])
+    harness.context.now_ms += 200.0
+    harness.speeds.refresh_if_due()
+    assert harness.speeds.list_cold_ids("s") == set()
+
+
+def test_path_ends_with_the_last_step_that_depends_on_it():
+    steps = (
+        StepSpec(estimate_ms=10.0),
+        StepSpec(estimate_ms=20.0, after=(0,)),
+        StepSpec(estimate_ms=5.0),
+        StepSpec(estimate_ms=40.0, after=(1, 2)),
+    )
+    spec = JobSpec(steps=steps)
+    assert [compute_path_from_ms(spec, i) for i in range(4)] == [70.0, 60.0, 45.0, 40.0]
