FEA Cold servers get one task at a time; the next owner knows the speeds

Cause: a server that is slow after its start looks idle and attracted as many tasks as any other, and a new owner knew nothing about the speed of servers.

Change: ColdLeftMs is decoded from a server's entry. A server that is cold according to its entry, after a restart, or because it is more than 1.5 times slower than its kind gets one task at a time, after all others, until three runs in a row are normal, unless most servers of the service are cold. Health reports carry the speeds of kinds, deviations of servers and the rest of the cold time; on servers of equal speed they are as before. Deviations of single servers count only where kinds differ, and a run must take three times the expected time to count as far off, so that noise does not change the order of equal servers.

Tests: test_zone_that_returns_cold_is_neither_flooded_nor_starved, test_next_owner_knows_the_speeds_of_kinds_and_servers.

--- a/buckthornshift/dispatch/_core.py
+++ b/buckthornshift/dispatch/_core.py
@@ -179,6 +179,7 @@
             fleet=self.fleet,
             membership=self.membership,
             cells=self.cells,
+            server_speeds=self.server_speeds,
         )
         self.list_follower = ListFollower(
             context=context,
@@ -186,6 +187,7 @@
             membership=self.membership,
             cells=self.cells,
             list_publisher=self.list_publisher,
+            server_speeds=self.server_speeds,
         )
         self.lease_manager = LeaseManager(
             context=context,
@@ -358,4 +360,6 @@
         "n_runs": len(server.run_by_name),
         "free_cpu": server.free.cpu,
         "slowness": round(server.slowness, 2),
+        "relative_slowness": round(server.relative_slowness, 2),
+        "kind_ratio": server.speed.get_kind_ratio(),
     }
--- a/buckthornshift/dispatch/_declarations.py
+++ b/buckthornshift/dispatch/_declarations.py
@@ -125,6 +125,7 @@
     :param is_draining: whether it is shutting down and must get no new tasks.
     :param capacity: total resources for tasks.
     :param labels: labels of its hardware and its rack.
+    :param cold_left_ms: how much longer it remains slow after its start.
     """
 
     server_id: str = ""
@@ -135,6 +136,7 @@
     is_draining: bool = False
     capacity: Resources = Resources()
     labels: tuple[str, ...] = ()
+    cold_left_ms: float = 0.0
 
 
 @attrs.frozen(kw_only=True)
--- a/buckthornshift/dispatch/_fleet.py
+++ b/buckthornshift/dispatch/_fleet.py
@@ -201,10 +201,14 @@
             server = self.by_id.get(server_id)
             if server is None:
                 server = self._add(record)
+                server.speed.note_cold(record.cold_left_ms, self.context.now_ms)
                 added.append(server)
                 continue
             if server.record != record or server.unlisted_since_ms is not None:
+                was_cold = server.record.cold_left_ms > 0.0
                 server.update_record(record)
+                if was_cold or record.cold_left_ms:
+                    server.speed.note_cold(record.cold_left_ms, self.context.now_ms)
                 server.unlisted_since_ms = None
                 changed.append(server)
         for server in self.by_id.values():
@@ -240,13 +244,21 @@
         reports = []
         for server in self.list_servers(cell):
             left_ms = max(0.0, server.suspect_until_ms - now_ms)
-            if left_ms or server.n_failures or server.slowness > MIN_REPORTED_SLOWNESS:
+            is_degraded = (
+                left_ms
+                or server.n_failures
+                or server.slowness > MIN_REPORTED_SLOWNESS
+                or server.speed.is_notable(now_ms)
+            )
+            if is_degraded:
                 reports.append(
                     ServerHealthReport(
                         server_id=server.id,
                         suspect_left_ms=round(left_ms),
                         n_failures=server.n_failures,
                         slowness=round(server.slowness, 2),
+                        kind_ratio=server.speed.get_kind_ratio(),
+                        cold_left_ms=round(server.speed.get_cold_left_ms(now_ms)),
                     )
                 )
         return tuple(reports)
@@ -265,6 +277,7 @@
             server.suspect_until_ms = self.context.now_ms + report.suspect_left_ms
             server.n_failures = report.n_failures
             server.slowness = report.slowness
+            server.speed.apply_report(report, self.context.now_ms)
 
     def find_suspect_ids(self, servers):
         """Return the ids of suspected servers, unless most of their zone is suspected.
--- a/buckthornshift/dispatch/_list_follower.py
+++ b/buckthornshift/dispatch/_list_follower.py
@@ -24,16 +24,24 @@
     :param membership: the :class:`Membership`.
     :param cells: the :class:`Cells`.
     :param list_publisher: the :class:`ListPublisher`.
+    :param server_speeds: the :class:`ServerSpeeds`.
     """
 
     def __init__(
-        self, context=None, fleet=None, membership=None, cells=None, list_publisher=None
+        self,
+        context=None,
+        fleet=None,
+        membership=None,
+        cells=None,
+        list_publisher=None,
+        server_speeds=None,
     ):
         self.context = context
         self.fleet = fleet
         self.membership = membership
         self.cells = cells
         self.list_publisher = list_publisher
+        self.server_speeds = server_speeds
         self.may_be_stale = False
 
     def subscribe(self):
@@ -72,9 +80,11 @@
                 self._add_unknown(event.message.servers)
             case ServerListUpdate():
                 self._apply_list_message(event.message)
-            case ServerHealthUpdate(cell=cell, lessons=reports):
+            case ServerHealthUpdate(cell=cell, lessons=reports, kinds=kinds):
                 if cell < self.cells.n_cells and not self.cells.is_owner_of(cell):
                     self.fleet.apply_health_reports(reports, cell)
+                    if not self.cells.is_owner:
+                        self.server_speeds.apply_kind_reports(kinds)
 
     def on_housekeeping(self, message):
         """Grow the number of cells if due; note whether the list may be stale."""
--- a/buckthornshift/dispatch/_list_publisher.py
+++ b/buckthornshift/dispatch/_list_publisher.py
@@ -30,13 +30,22 @@
     :param fleet: the :class:`Fleet`.
     :param membership: the :class:`Membership`.
     :param cells: the :class:`Cells`.
+    :param server_speeds: the :class:`ServerSpeeds`.
     """
 
-    def __init__(self, context=None, fleet=None, membership=None, cells=None):
+    def __init__(
+        self,
+        context=None,
+        fleet=None,
+        membership=None,
+        cells=None,
+        server_speeds=None,
+    ):
         self.context = context
         self.fleet = fleet
         self.membership = membership
         self.cells = cells
+        self.server_speeds = server_speeds
         self._sent_record_by_id = {}
         self._sent_incarnation_by_address = {}
         self._list_sent_ms_by_address = {}
@@ -124,9 +133,10 @@
             previous = self._health_reports_by_cell.get(cell, ())
             reports = self.fleet.list_health_reports(cell)
             self._health_reports_by_cell[cell] = reports
-            if not reports and not previous:
+            kinds = self.server_speeds.list_kind_reports()
+            if not reports and not previous and not kinds:
                 continue
-            message = ServerHealthUpdate(cell=cell, lessons=reports)
+            message = ServerHealthUpdate(cell=cell, lessons=reports, kinds=kinds)
             for peer in self.membership.list_live():
                 if self.membership.is_hub(peer.address):
                     self._send(peer, message)
--- a/buckthornshift/dispatch/_peer_messages.py
+++ b/buckthornshift/dispatch/_peer_messages.py
@@ -196,12 +196,28 @@
     :param suspect_left_ms: time for which it remains suspected; 0 if it is not.
     :param n_failures: consecutive failures.
     :param slowness: moving average of the ratio of actual to estimated run times.
+    :param kind_ratio: mean ratio of its run times to those of its kind.
+    :param cold_left_ms: time for which it is expected to be slow after its start.
     """
 
     server_id: str = ""
     suspect_left_ms: float = 0.0
     n_failures: int = 0
     slowness: float = 1.0
+    kind_ratio: float = 1.0
+    cold_left_ms: float = 0.0
+
+
+@attrs.frozen(kw_only=True)
+class KindSlowness:
+    """How slow the servers of a kind are, as observed by an owner.
+
+    :param kind: service and labels of the kind.
+    :param slowness: factor on run times, relative to the mean of the service's servers.
+    """
+
+    kind: tuple[str, ...] = ()
+    slowness: float = 1.0
 
 
 @attrs.frozen(kw_only=True)
@@ -226,10 +242,12 @@
     :param cell: number of the cell.
     :param lessons: a :class:`ServerHealthReport` of each degraded server; servers
         without one are healthy.
+    :param kinds: a :class:`KindSlowness` of each kind, where kinds differ in speed.
     """
 
     cell: int = 0
     lessons: tuple[ServerHealthReport, ...] = ()
+    kinds: tuple[KindSlowness, ...] = ()
     wire_name: ClassVar[str] = "LessonsShared"
 
 
--- a/buckthornshift/dispatch/_scheduler.py
+++ b/buckthornshift/dispatch/_scheduler.py
@@ -49,8 +49,10 @@
     def schedule(self):
         """Start all tasks that can start now, those of the most urgent job first."""
         self.is_pass_requested = False
-        self.server_speeds.refresh_if_due()
-        for cell in self.cells.list_owned():
+        owned_cells = self.cells.list_owned()
+        if owned_cells:
+            self.server_speeds.refresh_if_due()
+        for cell in owned_cells:
             self._schedule_cell(cell)
 
     def count_waiting_cpu(self, cell):
--- a/buckthornshift/dispatch/_server_speeds.py
+++ b/buckthornshift/dispatch/_server_speeds.py
@@ -4,6 +4,9 @@
 
 import attrs
 
+from ._actions import LogCode
+from ._peer_messages import KindSlowness
+
 # Labels with this prefix name a rack; the other labels describe the hardware.
 RACK_PREFIX = "r-"
 # How often the speeds that placement uses are computed from what was learnt.
@@ -29,7 +32,7 @@
 RANK_STEP = 0.1
 # A run that is slower by more (logarithm) counts in full if the runs of two other
 # jobs before it on that server were slow as well, because the server has changed then.
-FAR_RESIDUAL = 0.9
+FAR_RESIDUAL = 1.1
 FAR_GAIN = 0.3
 MIN_FAR_JOBS = 3
 # A server that is this much slower than its kind (logarithm; 1.5 times) is cold.
@@ -45,6 +48,8 @@
 # Time constant with which the deviation of a server without runs is forgotten, so that
 # a server that was slow is tried again.
 DEVIATION_MEMORY_MS = 10_000.0
+# Smallest ratio that is taken from another instance.
+MIN_RATIO = 0.01
 # Margin on the expected run time of a task, for the difference between its tasks.
 RUN_TIME_MARGIN = 1.25
 # Fast servers are scarce while less of their capacity is free.
@@ -73,12 +78,35 @@
     cold_until_ms: float = 0.0
     n_normal_runs: int = 0
 
+    def note_cold(self, left_ms, now_ms):
+        """Record how much longer the server remains slow, according to its entry."""
+        if now_ms >= self.cold_until_ms:
+            self.n_normal_runs = 0
+        self.cold_until_ms = now_ms + left_ms
+
+    def is_notable(self, now_ms):
+        """Return whether it deviates from its kind, or is slow after its start."""
+        is_deviating = abs(self.deviation) > MIN_SERVER_DEVIATION
+        return is_deviating or self.get_cold_left_ms(now_ms) > 0.0
+
+    def get_kind_ratio(self):
+        """Return the mean ratio of its run times to those of its kind."""
+        return round(math.exp(self.deviation), 2)
+
+    def get_cold_left_ms(self, now_ms):
+        """Return for how long it may be slow after its start; 0 if it is not."""
+        is_normal = self.n_normal_runs >= MIN_NORMAL_RUNS
+        return 0.0 if is_normal else max(0.0, self.cold_until_ms - now_ms)
+
+    def apply_report(self, report, now_ms):
+        """Replace what was learnt by a :class:`ServerHealthReport` of the owner."""
+        self.deviation = math.log(max(MIN_RATIO, report.kind_ratio))
+        self.note_cold(report.cold_left_ms, now_ms)
+
     def is_cold(self, now_ms):
         """Return whether the server is slower than it will be."""
-        is_warming_up = now_ms < self.cold_until_ms
-        return self.deviation > COLD_DEVIATION or (
-            is_warming_up and self.n_normal_runs < MIN_NORMAL_RUNS
-        )
+        is_slow = self.deviation > COLD_DEVIATION
+        return is_slow or self.get_cold_left_ms(now_ms) > 0.0
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -172,6 +200,22 @@
         speed.n_normal_runs = speed.n_normal_runs + 1 if is_normal else 0
         speed.updated_ms = now_ms
 
+    def list_kind_reports(self):
+        """Return a :class:`KindSlowness` of each kind of an uneven service."""
+        return tuple(
+            KindSlowness(kind=kind, slowness=round(math.exp(average.value), 3))
+            for kind, average in self._average_by_kind.items()
+            if kind[0] in self._uneven_services and average.n_values >= MIN_KIND_RUNS
+        )
+
+    def apply_kind_reports(self, reports):
+        """Replace the speeds of kinds by those that their owner reports."""
+        for report in reports:
+            self._average_by_kind[report.kind] = _Average(
+                value=math.log(max(MIN_RATIO, report.slowness)),
+                n_values=round(1.0 / KIND_GAIN),
+            )
+
     def forget_server(self, server):
         """Forget the speed of a server that has restarted, and treat it as cold."""
         server.speed = ServerSpeed(cold_until_ms=self.context.now_ms + RESTART_COLD_MS)
@@ -226,25 +270,35 @@
     def _refresh_service(self, service, servers, elapsed_ms):
         now_ms = self.context.now_ms
         slowness_by_kind = self._compute_kind_slowness(service, servers)
-        n_cold = 0
+        is_uneven = service in self._uneven_services
         cold_ids = set()
         for server in servers:
             speed = server.speed
             if now_ms - speed.updated_ms > elapsed_ms:
                 speed.deviation *= math.exp(-elapsed_ms / DEVIATION_MEMORY_MS)
             value = slowness_by_kind[get_kind(server.record)]
-            if abs(speed.deviation) > MIN_SERVER_DEVIATION:
+            if is_uneven and abs(speed.deviation) > MIN_SERVER_DEVIATION:
                 value += speed.deviation
             server.relative_slowness = math.exp(RANK_STEP * round(value / RANK_STEP))
             if speed.is_cold(now_ms):
                 cold_ids.add(server.id)
-                n_cold += 1
-        if n_cold > MAX_COLD_SHARE * len(servers):
+        if len(cold_ids) > MAX_COLD_SHARE * len(servers):
             cold_ids = set()
+        self._log_cold(cold_ids, self._cold_ids_by_service.get(service, ()))
         self._cold_ids_by_service[service] = cold_ids
-        if service in self._uneven_services:
+        if is_uneven:
             self._refresh_free_capacity(service, servers)
 
+    def _log_cold(self, cold_ids, former_ids):
+        for server_id in sorted(cold_ids.difference(former_ids)):
+            speed = self.fleet.by_id[server_id].speed
+            self.context.log(
+                LogCode.SERVER_COLD,
+                server_id,
+                kind_ratio=speed.get_kind_ratio(),
+                left_ms=round(speed.get_cold_left_ms(self.context.now_ms)),
+            )
+
     def _compute_kind_slowness(self, service, servers):
         """Return the slowness of each kind as a logarithm, or 0 if they are equal."""
         n_servers_by_kind = {}
--- a/buckthornshift/platform/_documents.py
+++ b/buckthornshift/platform/_documents.py
@@ -66,6 +66,7 @@
     state: str
     capacity: _Capacity
     labels: list[str] = []
+    cold_left_ms: float = 0.0
 
 
 class _Step(msgspec.Struct, rename="pascal"):
@@ -162,6 +163,7 @@
             gpu=server.capacity.gpu,
         ),
         labels=tuple(server.labels),
+        cold_left_ms=max(0.0, server.cold_left_ms),
     )
 
 
--- a/buckthornshift/platform/_server_side.py
+++ b/buckthornshift/platform/_server_side.py
@@ -84,19 +84,20 @@
 
     :param record: the :class:`~buckthornshift.dispatch.ServerRecord`.
     """
-    return msgspec.json.encode(
-        {
-            "Service": record.service,
-            "Address": f"{record.host}:{record.port}",
-            "Zone": record.zone,
-            "State": "draining" if record.is_draining else "ready",
-            "Capacity": {
-                "Cpu": record.capacity.cpu,
-                "MemMb": record.capacity.memory_mb,
-            },
-            "Labels": list(record.labels),
-        }
-    )
+    value = {
+        "Service": record.service,
+        "Address": f"{record.host}:{record.port}",
+        "Zone": record.zone,
+        "State": "draining" if record.is_draining else "ready",
+        "Capacity": {
+            "Cpu": record.capacity.cpu,
+            "MemMb": record.capacity.memory_mb,
+        },
+        "Labels": list(record.labels),
+    }
+    if record.cold_left_ms:
+        value["ColdLeftMs"] = record.cold_left_ms
+    return msgspec.json.encode(value)
 
 
 def encode_configuration(configuration):
--- a/tests/dispatch/test_server_speeds.py
+++ b/tests/dispatch/test_server_speeds.py
@@ -4,8 +4,16 @@
 
 import attrs
 import pytest
-
-from buckthornshift.dispatch import DispatchSettings, Resources, ServerRecord
+from owner_harness import OwnerHarness
+
+from buckthornshift.dispatch import (
+    DispatchSettings,
+    EndKind,
+    JobArrived,
+    Resources,
+    ServerRecord,
+    StartRun,
+)
 from buckthornshift.dispatch._context import DispatchContext
 from buckthornshift.dispatch._declarations import JobSpec, Queue, StepSpec
 from buckthornshift.dispatch._duration_estimator import DurationEstimator
@@ -17,7 +25,8 @@
 
 # Share of the cores that the site's tasks need at load 1, on servers of speed 1.
 SPLITS_CPU_SHARE = 0.431
-QUEUE = Queue(name="q", service="s")
+QUEUE = Queue(name="q", service="s", max_attempts=3)
+NEED = Resources(cpu=16_000)
 
 
 class SpeedsHarness:
@@ -137,6 +146,70 @@
     assert harness.speeds.list_cold_ids("s") == set()
 
 
+def submit_tasks(owner, n_tasks):
+    step = StepSpec(n_tasks=n_tasks, need=NEED, estimate_ms=100.0)
+    job = JobSpec(job_id=f"{1:016x}", steps=(step,))
+    owner.feed(JobArrived(caller_ref=1, job=job, queue=QUEUE, timeout_ms=9_000.0))
+    return [start.server.server_id for start in owner.pop(StartRun)]
+
+
+def test_zone_that_returns_cold_is_neither_flooded_nor_starved():
+    """Idle servers of a returned zone would attract all tasks while they are slow."""
+    capacity = NEED.plus(NEED)
+    servers = [
+        ServerRecord(
+            server_id=f"s{i}",
+            service="s",
+            zone=f"z{i % 3}",
+            capacity=capacity,
+            cold_left_ms=3_000.0 if i % 3 == 0 else 0.0,
+        )
+        for i in range(6)
+    ]
+    owner = OwnerHarness(queues=(QUEUE,), servers=servers)
+    server_ids = submit_tasks(owner, n_tasks=12)
+    assert [server_ids.count(f"s{i}") for i in range(6)] == [1, 2, 2, 1, 2, 2]
+    for server_id in ("s0", "s3"):
+        owner.core.fleet.by_id[server_id].speed.n_normal_runs = 3
+    owner.advance_time(200.0)
+    assert len(owner.pop(StartRun)) == 2
+
+
+def test_failing_server_is_not_rated_as_fast():
+    """Servers with grey failures end their tasks sooner than healthy ones."""
+    server = ServerRecord(server_id="s0", service="s", capacity=NEED)
+    owner = OwnerHarness(queues=(QUEUE,), servers=(server,))
+    submit_tasks(owner, n_tasks=1)
+    owner.core.context.now_ms += 5.0
+    for kind, is_learnt in ((EndKind.FAILED, False), (EndKind.DONE, True)):
+        server = owner.core.fleet.by_id["s0"]
+        (run,) = server.run_by_name.values()
+        owner.core.runs._handle_end(server, run, kind)
+        assert bool(owner.core.server_speeds._average_by_queue) is is_learnt
+
+
+def test_next_owner_knows_the_speeds_of_kinds_and_servers():
+    """The owner is lost, and its successor would place long tasks on slow servers."""
+    former, successor = SpeedsHarness(), SpeedsHarness()
+    former.end_runs(2_000)
+    former.servers[1].speed.deviation = 1.0
+    successor.fleet.apply_health_reports(former.fleet.list_health_reports(0), 0)
+    successor.speeds.apply_kind_reports(former.speeds.list_kind_reports())
+    successor.speeds.refresh_if_due()
+    assert successor.measure_ratio() == pytest.approx(former.measure_ratio())
+    assert successor.speeds.list_cold_ids("s") == {"s1"}
+
+
+def test_restarted_server_is_cold_until_its_runs_are_normal():
+    harness = SpeedsHarness()
+    harness.end_runs(2_000)
+    server = harness.servers[0]
+    harness.speeds.forget_server(server)
+    assert server.speed.is_cold(harness.context.now_ms)
+    harness.end_runs(10, servers=[server])
+    assert not server.speed.is_cold(harness.context.now_ms)
+
+
 def test_path_ends_with_the_last_step_that_depends_on_it():
     steps = (
         StepSpec(estimate_ms=10.0),
--- a/tests/platform/test_platform_documents.py
+++ b/tests/platform/test_platform_documents.py
@@ -47,6 +47,8 @@
     assert (server.host, server.port, server.is_draining) == ("10.0.0.9", 8080, False)
     assert server.capacity == Resources(cpu=16000, memory_mb=32768)
     assert decode_server("i", encode(SERVER | {"State": "draining"})).is_draining
+    assert server.cold_left_ms == 0.0
+    assert decode_server("i", encode(SERVER | {"ColdLeftMs": 900})).cold_left_ms == 900
 
 
 @pytest.mark.parametrize(
