--- a/buckthornshift/dispatch/_core.py
+++ b/buckthornshift/dispatch/_core.py
@@ -37,6 +37,7 @@
 from ._runs import RunTracker
 from ._scheduler import TaskScheduler
 from ._server_lives import ServerLives
+from ._server_speeds import ServerSpeeds
 from ._settings import DispatchIdentity, DispatchSettings
 from ._shutdown import GracefulShutdown
 
@@ -144,6 +145,11 @@
             context=context, membership=self.membership, fleet=self.fleet
         )
         self.duration_estimator = DurationEstimator()
+        self.server_speeds = ServerSpeeds(
+            context=context,
+            fleet=self.fleet,
+            duration_estimator=self.duration_estimator,
+        )
         self.admission = AdmissionController(
             context=context,
             fleet=self.fleet,
@@ -156,6 +162,7 @@
             cells=self.cells,
             admission=self.admission,
             duration_estimator=self.duration_estimator,
+            server_speeds=self.server_speeds,
         )
         self.evacuation_tracker = EvacuationTracker(
             context=context,
@@ -175,6 +182,7 @@
             fleet=self.fleet,
             jobs=self.jobs,
             crash_history=self.crash_history,
+            server_speeds=self.server_speeds,
         )
         self.lives = ServerLives(
             context=context,
@@ -188,6 +196,7 @@
             fleet=self.fleet,
             membership=self.membership,
             cells=self.cells,
+            server_speeds=self.server_speeds,
         )
         self.list_follower = ListFollower(
             context=context,
@@ -195,6 +204,7 @@
             membership=self.membership,
             cells=self.cells,
             list_publisher=self.list_publisher,
+            server_speeds=self.server_speeds,
         )
         self.lease_manager = LeaseManager(
             context=context,
@@ -219,6 +229,7 @@
             jobs=self.jobs,
             runs=self.runs,
             cells=self.cells,
+            server_speeds=self.server_speeds,
         )
         self.cells.count_waiting_cpu = self.scheduler.count_waiting_cpu
         self.shutdown = GracefulShutdown(
@@ -372,4 +383,6 @@
         "n_runs": len(server.run_by_name),
         "free_cpu": server.free.cpu,
         "slowness": round(server.slowness, 2),
+        "relative_slowness": round(server.relative_slowness, 2),
+        "kind_ratio": server.speed.get_kind_ratio(),
     }
--- a/buckthornshift/dispatch/_declarations.py
+++ b/buckthornshift/dispatch/_declarations.py
@@ -140,6 +140,7 @@
     :param labels: labels of its hardware and its rack.
     :param started_ms: when the server's process started, in milliseconds since the
         epoch, which identifies its incarnation; 0 if unknown.
+    :param cold_left_ms: how much longer it remains slow after its start.
     """
 
     server_id: str = ""
@@ -151,6 +152,7 @@
     capacity: Resources = Resources()
     labels: tuple[str, ...] = ()
     started_ms: int = 0
+    cold_left_ms: float = 0.0
 
 
 @attrs.frozen(kw_only=True)
--- a/buckthornshift/dispatch/_fleet.py
+++ b/buckthornshift/dispatch/_fleet.py
@@ -8,6 +8,7 @@
 from ._hashing import HASH_BITS, hash_name
 from ._jobs import RunPhase
 from ._peer_messages import ServerHealthReport
+from ._server_speeds import ServerSpeed
 
 # If a larger fraction of an availability zone's servers is suspected, none of them
 # counts as suspect: a fault that affects most of a zone is not one of its servers.
@@ -71,6 +72,9 @@
     :param suspect_until_ms: until when other servers are preferred to it.
     :param n_failures: consecutive failures.
     :param slowness: moving average of the ratio of actual to estimated run times.
+    :param speed: the :class:`ServerSpeed` that was learnt.
+    :param relative_slowness: factor on run times relative to the mean of the service's
+        servers; 1 where they are equally fast.
     """
 
     record: ServerRecord = ServerRecord()
@@ -105,6 +109,8 @@
     suspect_until_ms: float = 0.0
     n_failures: int = 0
     slowness: float = 1.0
+    speed: ServerSpeed = attrs.field(factory=ServerSpeed)
+    relative_slowness: float = 1.0
 
     @property
     def id(self):
@@ -289,6 +295,7 @@
             server = self.by_id.get(server_id)
             if server is None:
                 server = self._add(record)
+                server.speed.note_cold(record.cold_left_ms, self.context.now_ms)
                 added.append(server)
                 continue
             if server.is_former(record.started_ms):
@@ -298,8 +305,11 @@
             else:
                 server.started_ms = max(server.started_ms, record.started_ms)
             if server.record != record or server.unlisted_since_ms is not None:
+                was_cold = server.record.cold_left_ms > 0.0
                 server.update_record(record)
                 server.is_evacuated = record.zone in self._evacuated_zones
+                if was_cold or record.cold_left_ms:
+                    server.speed.note_cold(record.cold_left_ms, self.context.now_ms)
                 server.unlisted_since_ms = None
                 changed.append(server)
         for server in self.by_id.values():
@@ -351,13 +361,21 @@
         reports = []
         for server in self.list_servers(cell):
             left_ms = max(0.0, server.suspect_until_ms - now_ms)
-            if left_ms or server.n_failures or server.slowness > MIN_REPORTED_SLOWNESS:
+            is_degraded = (
+                left_ms
+                or server.n_failures
+                or server.slowness > MIN_REPORTED_SLOWNESS
+                or server.speed.is_notable(now_ms)
+            )
+            if is_degraded:
                 reports.append(
                     ServerHealthReport(
                         server_id=server.id,
                         suspect_left_ms=round(left_ms),
                         n_failures=server.n_failures,
                         slowness=round(server.slowness, 2),
+                        kind_ratio=server.speed.get_kind_ratio(),
+                        cold_left_ms=round(server.speed.get_cold_left_ms(now_ms)),
                     )
                 )
         return tuple(reports)
@@ -376,6 +394,7 @@
             server.suspect_until_ms = self.context.now_ms + report.suspect_left_ms
             server.n_failures = report.n_failures
             server.slowness = report.slowness
+            server.speed.apply_report(report, self.context.now_ms)
 
     def find_suspect_ids(self, servers):
         """Return the ids of suspected servers, unless most of their zone is suspected.
--- a/buckthornshift/platform/_documents.py
+++ b/buckthornshift/platform/_documents.py
@@ -68,6 +68,7 @@
     labels: list[str] = []
     # Start of the server's process, in milliseconds since the epoch.
     born: int = msgspec.field(name="born", default=0)
+    cold_left_ms: float = 0.0
 
 
 class _Step(msgspec.Struct, rename="pascal"):
@@ -174,6 +175,7 @@
         ),
         labels=tuple(server.labels),
         started_ms=server.born,
+        cold_left_ms=max(0.0, server.cold_left_ms),
     )
 
 
--- a/buckthornshift/platform/_server_side.py
+++ b/buckthornshift/platform/_server_side.py
@@ -99,6 +99,8 @@
     }
     if record.started_ms:
         value["born"] = record.started_ms
+    if record.cold_left_ms:
+        value["ColdLeftMs"] = record.cold_left_ms
     return msgspec.json.encode(value)
 
 
--- a/tests/platform/test_platform_documents.py
+++ b/tests/platform/test_platform_documents.py
@@ -50,6 +50,8 @@
     assert server.started_ms == 0
     restarted = decode_server("i-1", encode(SERVER | {"born": 1_800_000_000_123}))
     assert restarted.started_ms == 1_800_000_000_123
+    assert server.cold_left_ms == 0.0
+    assert decode_server("i", encode(SERVER | {"ColdLeftMs": 900})).cold_left_ms == 900
 
 
 @pytest.mark.parametrize(
