FEA explain reports where a job would be placed now, and why

It asks the owner of the job's cell on its metrics address; if the owner is not reached, the report names the view that it is based on.

Nothing is computed unless a report is requested.

Soak cancels the tasks that restart its instances when it closes them.

--- a/buckthornshift/cli/_main.py
+++ b/buckthornshift/cli/_main.py
@@ -12,6 +12,7 @@
     "submit": "_jobs",
     "cancel": "_jobs",
     "state": "_jobs",
+    "explain": "_explain",
     "catalogue": "_catalogue",
     "standin": "_standin",
     "demo": "_demo",
--- a/buckthornshift/dispatch/__init__.py
+++ b/buckthornshift/dispatch/__init__.py
@@ -57,6 +57,7 @@
     ServerListUpdate,
     SubmitJob,
 )
+from ._placement_report import PlacementReporter, PlacementVerdict
 from ._settings import DispatchIdentity, DispatchSettings
 
 __all__ = [
@@ -89,6 +90,8 @@
     "Ownership",
     "PeerConnected",
     "PeerMessageReceived",
+    "PlacementReporter",
+    "PlacementVerdict",
     "Queue",
     "ReconnectPeer",
     "RenewLease",
--- a/buckthornshift/dispatch/_admission.py
+++ b/buckthornshift/dispatch/_admission.py
@@ -85,6 +85,14 @@
             )
         return None
 
+    def estimate_wait_ms(self, job, n_needed):
+        """Return the expected time until enough slots are free.
+
+        :param job: the job.
+        :param n_needed: number of slots needed beyond those that are free.
+        """
+        return self._estimate_wait_ms(job, n_needed)
+
     def _bound_wait_ms(self, job, open_jobs):
         """Return the time after which no job that waits now is still ahead of a job.
 
--- a/buckthornshift/dispatch/_owner_jobs.py
+++ b/buckthornshift/dispatch/_owner_jobs.py
@@ -201,6 +201,13 @@
         if (job.is_returned or is_disowned) and not self.runs.count_open(job):
             self.return_job(job)
 
+    def preview_job(self, message):
+        """Return the :class:`Job` that a submission would become; accept nothing.
+
+        :param message: the :class:`SubmitJob`.
+        """
+        return self._build_job(message)
+
     def _submit(self, submission, message):
         if submission in self._outcome_by_submission:
             self._send(submission, self._outcome_by_submission[submission][1])
--- a/buckthornshift/dispatch/_scheduler.py
+++ b/buckthornshift/dispatch/_scheduler.py
@@ -50,6 +50,29 @@
             for task in job.waiting_by_name.values()
         )
 
+    def find_candidates(self, job):
+        """Return the servers that could take tasks of a job now.
+
+        :param job: a :class:`Job`, which need not have been accepted.
+        """
+        candidates_by_service = self._find_candidates([job], job.cell)
+        return candidates_by_service[job.queue.service]
+
+    def rank_servers(self, task, candidates, max_servers):
+        """Return the servers that a task would prefer now, best first.
+
+        :param task: the task.
+        :param candidates: what :meth:`find_candidates` returned for its job.
+        :param max_servers: maximum number of servers to return.
+        """
+        allowed = candidates.find_allowed(task)
+        ranked = []
+        while allowed and len(ranked) < max_servers:
+            best = self._choose_best(task, allowed, candidates)
+            allowed.remove(best)
+            ranked.append(best)
+        return ranked
+
     def _schedule_cell(self, cell):
         now_ms = self.context.now_ms
         jobs = [job for job in self.jobs.list_open(cell) if job.waiting_by_name]
--- a/buckthornshift/proving/soak/_instances.py
+++ b/buckthornshift/proving/soak/_instances.py
@@ -143,6 +143,9 @@
                 await instance.process.wait()
         for instance in self.list_proxied():
             instance.peer_proxy.close()
+        for task in self._restart_tasks:
+            task.cancel()
+        await asyncio.gather(*self._restart_tasks, return_exceptions=True)
 
     async def _restart_on_exit(self, instance):
         await instance.process.wait()
--- a/buckthornshift/serving/_process.py
+++ b/buckthornshift/serving/_process.py
@@ -18,6 +18,7 @@
     LagProbeDue,
     LogCode,
     LogLine,
+    PlacementReporter,
     ReconnectPeer,
     RenewLease,
     ResourcesChanged,
@@ -29,6 +30,7 @@
     WatchServerList,
 )
 from ..platform import StoreClient
+from ._explain_api import explain
 from ._http_client import HttpConnectionPool
 from ._http_server import HttpServer
 from ._job_api import JobApi
@@ -94,6 +96,9 @@
             settings=settings.dispatch,
             random_state=self.random_state or random.SystemRandom(),
         )
+        self._placement_reporter = PlacementReporter(
+            core=self.core, random_state=random.Random()
+        )
         self._make_servers_and_clients()
         await self._listen()
         self._perform_all(self.core.start(read_monotonic_ms(), read_wall_ms()))
@@ -241,6 +246,8 @@
                 )
             case "/state":
                 exchange.respond(200, self._render_state())
+            case "/explain":
+                explain(exchange, self._placement_reporter, read_monotonic_ms())
             case _:
                 exchange.respond(404)
 
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -21,6 +21,7 @@
         "submit",
         "cancel",
         "state",
+        "explain",
         "catalogue",
         "standin",
         "demo",
