ENH A placement report copies whatever a submission may change

The report copied the job table and admission control. A component that these come to use, for example one that counts arrivals, would have been changed by a report. All components of the core are copied now, with their collections, except those that a submission only reads; these are named.

--- a/buckthornshift/dispatch/_placement_report.py
+++ b/buckthornshift/dispatch/_placement_report.py
@@ -23,6 +23,22 @@
 N_BEST_SERVERS = 5
 # Bounds the processor time of a report; a job may have thousands of tasks.
 MAX_PLACED_TASKS = 32
+# Attributes of the core that a submission only reads; all other components are copied.
+_SHARED_NAMES = {
+    "cells",
+    "context",
+    "crash_history",
+    "fleet",
+    "lease_manager",
+    "list_follower",
+    "list_publisher",
+    "load_shedder",
+    "membership",
+    "request_router",
+    "runs",
+    "scheduler",
+    "shutdown",
+}
 
 
 class PlacementVerdict(enum.StrEnum):
@@ -155,9 +171,7 @@
             queue=queue.name,
             config_version=core.context.configuration.version,
         )
-        context = self._copy_context(now_ms)
-        jobs = _copy_component(core.jobs, context)
-        jobs.admission = _copy_component(core.admission, context)
+        jobs = self._copy_jobs(self._copy_context(now_ms))
         message = SubmitJob(
             job=attrs.evolve(job, job_id=EXPLAINED_ID),
             queue=queue,
@@ -179,7 +193,7 @@
     def _copy_context(self, now_ms):
         """Return a context that takes the messages and actions of the report."""
         original = self.core.context
-        context = _copy_component(original, None)
+        context = _copy_component(original)
         context.now_ms = max(original.now_ms, now_ms)
         context.random_state = self.random_state
         context.counters = attrs.evolve(original.counters)
@@ -188,6 +202,19 @@
         context.inbox = collections.deque()
         return context
 
+    def _copy_jobs(self, context):
+        """Return a copy of the job table and of the components that it changes."""
+        copy_by_id = {
+            id(component): _copy_component(component)
+            for name, component in vars(self.core).items()
+            if not name.startswith("_") and name not in _SHARED_NAMES
+        }
+        copy_by_id[id(self.core.context)] = context
+        for copied in copy_by_id.values():
+            for name, value in vars(copied).items():
+                setattr(copied, name, copy_by_id.get(id(value), value))
+        return copy_by_id[id(self.core.jobs)]
+
     def _find_receiver_refusal(self, job, queue, owner, cell):
         """Return the fields of a refusal by the receiving instance, or ``None``."""
         context = self.core.context
@@ -340,17 +367,26 @@
         return next(name for name, applies in reasons if applies)
 
 
-def _copy_component(component, context):
-    """Return a copy whose collections and context can change independently."""
+def _copy_component(component):
+    """Return a copy whose collections can change independently."""
     copied = object.__new__(type(component))
     for name, value in vars(component).items():
-        is_collection = isinstance(value, (dict, list, set))
-        setattr(copied, name, value.copy() if is_collection else value)
-    if context is not None:
-        copied.context = context
+        setattr(copied, name, _copy_collection(value))
     return copied
 
 
+def _copy_collection(value):
+    """Return a copy of a collection and of those in it; any other value itself."""
+    if isinstance(value, dict):
+        copied = value.copy()
+        for key, item in copied.items():
+            copied[key] = _copy_collection(item)
+        return copied
+    if isinstance(value, (list, set, collections.deque)):
+        return value.copy()
+    return value
+
+
 def _copy_server(server):
     return attrs.evolve(server, run_by_name=dict(server.run_by_name))
 
