FIX Soak does not count its own stalls as time in transit

A request that a stopping instance leaves without an answer counts as cut off (stop_cuts_nothing) if it was sent more than 0.2 s before, since a later one may have been in transit. That time was measured in the process of the customers, from before the connection was opened. If that process did not get the processor for 0.2 s, a request that was in transit counted as cut off. The time for which its event loop was stalled by 20 ms or more is subtracted now, and is part of the detail.

The new test fails on the code before for a request in transit during a stall of 0.5 s (0.510 s counted); a request that waits for 0.5 s is reported as before, with and without a stall.

--- a/buckthornshift/proving/soak/_customers.py
+++ b/buckthornshift/proving/soak/_customers.py
@@ -16,6 +16,7 @@
 from ...platform._server_side import encode_job
 from ...serving._http_client import HttpConnectionPool
 from ..fleet import FleetRule
+from ._stalls import StallMeter
 
 RESUBMIT_DELAY_S = 1.3
 REQUEST_TIMEOUT_S = 6.0
@@ -64,6 +65,7 @@
         self.check = check
         self.record_violation = record_violation
         self.random_state = random_state
+        self._stalls = StallMeter()
         self._tasks = []
         self._pool_by_instance = {}
 
@@ -73,6 +75,7 @@
         :param seconds: for how long.
         :param jobs_per_s: average number of jobs a second.
         """
+        self._stalls.start()
         loop = asyncio.get_running_loop()
         end_s = loop.time() + seconds
         while loop.time() < end_s:
@@ -82,6 +85,7 @@
     async def finish(self):
         """Wait until every submission has ended, then close all connections."""
         await asyncio.gather(*self._tasks)
+        self._stalls.close()
         for pool in self._pool_by_instance.values():
             pool.close()
 
@@ -122,6 +126,7 @@
     async def _post(self, instance, pool, job):
         loop = asyncio.get_running_loop()
         sent_s = loop.time()
+        stalled_before_s = self._stalls.total_s
         generation = instance.generation
         self.oracle.record_request(job, self.queue, False)
         headers = (("Host", self.queue.host), ("X-Deadline-Ms", str(JOB_TIMEOUT_MS)))
@@ -142,11 +147,15 @@
             is_undisturbed = (
                 generation == instance.generation and not instance.was_killed_or_paused
             )
-            is_cut_off = (
-                may_have_arrived and is_undisturbed and waited_s > TRANSIT_ALLOWANCE_S
-            )
-            if is_cut_off and instance.is_stopping:
-                detail = f"{job.job_id}: {instance.name}, {waited_s:.3f} s, {error}"
+            is_cut_off = may_have_arrived and is_undisturbed and instance.is_stopping
+            # While this process itself was stalled, the request was not in transit for
+            # longer, but sent or read later.
+            stalled_s = await self._stalls.read() - stalled_before_s
+            if is_cut_off and waited_s - stalled_s > TRANSIT_ALLOWANCE_S:
+                detail = (
+                    f"{job.job_id}: {instance.name}, {waited_s:.3f} s, "
+                    f"stalled for {stalled_s:.3f} s, {error}"
+                )
                 self.record_violation(FleetRule.STOP_CUTS_NOTHING, detail)
             return 0
         self.check(self.oracle.record_answer, job, _read_answer(status, body))
