--- a/tests/serving/test_evacuation_process.py
+++ b/tests/serving/test_evacuation_process.py
@@ -6,10 +6,11 @@
 import time
 
 import attrs
-from test_process import find_free_address, get_status
+from test_process import get_status
 
 from buckthornshift.dispatch import Configuration, Queue
 from buckthornshift.platform import CONFIGURATION_TOPIC, StoreClient
+from buckthornshift.proving.soak._ports import find_free_ports
 from buckthornshift.serving._http_client import HttpConnectionPool
 from buckthornshift.serving._process import DispatcherProcess
 from buckthornshift.serving._settings import ServingSettings, split_address
@@ -85,9 +86,10 @@
     server.record = attrs.evolve(server.record, zone="zone-b")
     platform.register_server(server)
     names = ("callers", "readiness", "peers", "metrics")
+    addresses = [f"127.0.0.1:{port}" for port in find_free_ports(len(names))]
     settings = ServingSettings(
         store=f"127.0.0.1:{platform.store.port}",
-        **{name: find_free_address() for name in names},
+        **dict(zip(names, addresses, strict=True)),
     )
     process = DispatcherProcess(settings=settings, random_state=random.Random(1))
     await process.start()
