FIX A drain of a server that is down does not count for its next process

Cause: the oracle recorded a drain also for a server that was down and therefore did not begin to drain.

Change: the drain is recorded only where the server begins it.

--- a/buckthornshift/proving/fleet/_faults.py
+++ b/buckthornshift/proving/fleet/_faults.py
@@ -148,8 +148,10 @@
                 self._schedule_end(fault, world.add_server, server.zone, server.index)
             case FleetFault.SERVER_DRAIN:
                 world.drain_server(server)
-                drain_start_ms = world.oracle.drain_start_ms_by_server
-                drain_start_ms.setdefault(server.name, world.clock.now_ms)
+                # A server that is down may come back and not be draining.
+                if server.record.is_draining:
+                    drain_start_ms = world.oracle.drain_start_ms_by_server
+                    drain_start_ms.setdefault(server.name, world.clock.now_ms)
                 self._schedule_end(fault, world.add_server, server.zone, server.index)
             case FleetFault.SERVER_ADDED:
                 world.add_server(server.zone, fault.target)
--- a/tests/proving/fleet/test_restarted_servers.py
+++ b/tests/proving/fleet/test_restarted_servers.py
@@ -16,6 +16,13 @@
     assert result.violation is None, result.detail
 
 
+def test_server_that_was_to_drain_while_it_was_down_is_used_again():
+    """The oracle counted it as draining from then on, seed 3."""
+    kinds = [FleetFault.SERVER_RESTARTS, FleetFault.SERVER_DRAIN]
+    result = run_fleet_seed(3, kinds=kinds, n_faults=4)
+    assert result.violation is None, result.detail
+
+
 @pytest.mark.parametrize("seed", (1, 12))
 def test_task_that_crashes_servers_which_return_under_their_ids_is_given_up(seed):
     result = run_fleet_seed(seed, kinds=CRASH_KINDS, n_faults=4)
