ENH Starts that timed out are barred again at a restarted server

Cause: a stop bars a start command that may still be under way, but only at the process that acknowledged it. The process that follows under the same id would carry out the start beside the task's next run, and its fencing token does not help, as the new process has seen none.

Change: the owner keeps the number of each run that was stopped before its start was confirmed for 10 s, as commands are carried out up to 6 s late, and repeats the stop when it notices a restart. A command that arrives before that is still carried out; the next listing shows it, and it is stopped.

--- a/buckthornshift/dispatch/_fleet.py
+++ b/buckthornshift/dispatch/_fleet.py
@@ -54,6 +54,8 @@
     :param former_started_ms: incarnation before the last restart that was noticed.
     :param former_silent_since_ms: when the former incarnation last responded.
     :param restart_noticed_ms: when the last restart was noticed, or ``None``.
+    :param barred_by_name: number of the last run of each task whose start it may still
+        get, though a stop has barred it, and until when; by name of the task.
     :param awaits_listing: whether it has restarted, and has not listed its runs since.
     :param clock_offset_ms: the server's clock minus that of this instance, or ``None``.
     :param clock_read_ms: when the offset was measured.
@@ -90,6 +92,7 @@
     former_silent_since_ms: float = 0.0
     restart_noticed_ms: float | None = None
     awaits_listing: bool = False
+    barred_by_name: dict = attrs.field(factory=dict)
     clock_offset_ms: float | None = None
     clock_read_ms: float = 0.0
     lease_expiry_ms: float = 0.0
--- a/buckthornshift/dispatch/_runs.py
+++ b/buckthornshift/dispatch/_runs.py
@@ -255,6 +255,7 @@
                 self._update_progress(server, run, running)
             elif self._is_confirmed_ended(run, event):
                 context.log(LogCode.RUN_RESOLVED, run.name, server=server.id)
+                self.lives.record_barred(server, run)
                 self.close_run(server, run)
                 self.requeue_task(run)
         for running in event.running:
--- a/buckthornshift/dispatch/_server_lives.py
+++ b/buckthornshift/dispatch/_server_lives.py
@@ -1,6 +1,6 @@
 """Restarts of servers under their former ids, and runs that are lost with a server."""
 
-from ._actions import DisconnectServer, LogCode
+from ._actions import DisconnectServer, LogCode, StopRun
 from ._events import Verdict
 from ._internal_messages import ServersChanged, ServersRestarted
 from ._jobs import RunPhase
@@ -9,6 +9,8 @@
 # Verdicts of responses that come from the server itself. A response that another
 # incarnation is at the address comes from another server.
 OWN_VERDICTS = (Verdict.DONE, Verdict.FENCED)
+# Time for which a start command that timed out may still be carried out.
+LATE_START_MS = 10_000.0
 
 
 class ServerLives:
@@ -130,6 +132,20 @@
         self._close_lost(server, runs, "server_restarted")
         self._record_losses(server, runs, is_former=True)
 
+    def record_barred(self, server, run):
+        """Remember a run that was stopped before its server confirmed its start.
+
+        :param server: the :class:`Server`.
+        :param run: the run, which is closed now.
+        """
+        if run.confirmed_ms is not None or not server.started_ms:
+            return
+        now_ms = self.context.now_ms
+        for name, (_, until_ms) in list(server.barred_by_name.items()):
+            if until_ms < now_ms:
+                del server.barred_by_name[name]
+        server.barred_by_name[run.name] = (run.number, now_ms + LATE_START_MS)
+
     def lose_all(self, server, cause):
         """Count the runs of a server that crashed, or can't be reached, as ended.
 
@@ -157,6 +173,8 @@
             former_started_ms=server.former_started_ms,
             n_runs=len(server.run_by_name),
         )
+        if server.is_held:
+            self._bar_late_starts(server)
         self.runs.adoption.clear_former(server)
         self._fail_jobs(self.crash_history.confirm_former(server))
         context.post(ServersChanged())
@@ -198,6 +216,19 @@
         if is_former:
             self._fail_jobs(self.crash_history.confirm_former(server))
 
+    def _bar_late_starts(self, server):
+        """Let the new incarnation refuse starts that the former one was told to."""
+        for name, (number, until_ms) in server.barred_by_name.items():
+            if until_ms >= self.context.now_ms:
+                self.context.emit(
+                    StopRun(
+                        server=server.record,
+                        token=server.token,
+                        task=name,
+                        run=number,
+                    )
+                )
+
     def _bar_again(self, server):
         """Repeat the stops that the former incarnation acknowledged.
 
--- a/tests/dispatch/test_server_lives.py
+++ b/tests/dispatch/test_server_lives.py
@@ -313,6 +313,24 @@
     assert owner.pop(StartRun) == []
 
 
+# The same, after the task has been started elsewhere.
+@NOTICES
+def test_start_that_timed_out_is_barred_at_the_new_incarnation(notice):
+    owner = Owner()
+    owner.holds_starts = True
+    (start,) = owner.submit()
+    server_id = start.server.server_id
+    owner.answer_start(start, Verdict.NO_ANSWER)
+    owner.feed(StopAnswered(server_id=server_id, task=start.task, run=start.run))
+    owner.advance_time(50.0)
+    assert len(owner.pop(StartRun)) == 1
+    owner.pop(StopRun)
+    owner.restart(server_id)
+    notice(owner, server_id)
+    stops = [s for s in owner.pop(StopRun) if s.server.server_id == server_id]
+    assert [(stop.task, stop.run) for stop in stops] == [(start.task, start.run)]
+
+
 # Guards against an end that the new incarnation forgets, as it was told the former
 # incarnation's last number.
 @NOTICES
