ENH Equal servers keep their order from the start; the choice of a server costs less

Choosing a server called a method per server and key.

Change: until kinds are known to differ, the required difference grows with the error of the averages. The sort key of a task is a closure, ranks are computed every 200 ms, and the mean slowness is only summed where it is used.

--- a/buckthornshift/dispatch/_scheduler.py
+++ b/buckthornshift/dispatch/_scheduler.py
@@ -1,5 +1,7 @@
 """Scheduling: which waiting task starts next, and on which server."""
 
+import math
+
 from ._admission import make_job_sort_key
 from ._peer_messages import EndReason
 
@@ -169,25 +171,33 @@
         max_slowness = 0.0
         if self.server_speeds.are_fast_scarce(task.job.queue.service, task.job.cell):
             max_slowness = self.server_speeds.compute_max_slowness(task)
-        return min(
-            servers,
-            key=lambda s: self._make_sort_key(task, s, candidates, max_slowness),
-            default=None,
-        )
+        sort_key = self._make_sort_key(task, candidates, max_slowness)
+        return min(servers, key=sort_key, default=None)
+
+    def _make_sort_key(self, task, candidates, max_slowness):
+        """Return the function by which servers are sorted for a task."""
+        # It is called for each server that has room, so lookups are made once.
+        need_cpu = task.spec.need.cpu
+        data_rack = task.spec.data_rack
+        avoided_ids = task.avoided_server_ids
+        suspect_ids = candidates.suspect_ids
+        cold_ids = candidates.cold_ids
+        max_usual_slowness = candidates.max_usual_slowness
+
+        def sort_key(server):
+            server_id = server.record.server_id
+            slowness = server.relative_slowness
+            return (
+                server_id in avoided_ids,
+                server_id in suspect_ids,
+                bool(data_rack) and data_rack not in server.record.labels,
+                server.slowness > max_usual_slowness or server_id in cold_ids,
+                slowness if slowness > max_slowness else -slowness,
+                server.free.cpu - need_cpu,
+                server.slowness,
+            )
 
-    def _make_sort_key(self, task, server, candidates, max_slowness):
-        spec = task.spec
-        slowness = server.relative_slowness
-        is_remote = bool(spec.data_rack) and spec.data_rack not in server.record.labels
-        return (
-            server.id in task.avoided_server_ids,
-            server.id in candidates.suspect_ids,
-            is_remote,
-            candidates.is_slow(server),
-            slowness if slowness > max_slowness else -slowness,
-            server.free.cpu - spec.need.cpu,
-            server.slowness,
-        )
+        return sort_key
 
 
 class _CandidateServers:
@@ -210,10 +220,12 @@
         self.min_cpu = min_cpu
         self.suspect_ids = suspect_ids
         self.cold_ids = cold_ids
-        self.is_uneven = is_uneven
         self._probed_ids = suspect_ids | cold_ids if cold_ids else suspect_ids
-        total = sum(server.slowness for server in servers)
-        self.mean_slowness = total / max(1, len(servers))
+        # Where kinds differ in speed, the slow servers are among the cold ones.
+        self.max_usual_slowness = math.inf
+        if not is_uneven:
+            total = sum(server.slowness for server in servers)
+            self.max_usual_slowness = SLOW_FACTOR * total / max(1, len(servers))
         self.servers = [
             server
             for server in servers
@@ -242,12 +254,6 @@
         """
         return server.id not in self._probed_ids or server.is_idle
 
-    def is_slow(self, server):
-        """Return whether a server is much slower than others, or than its kind."""
-        if self.is_uneven or server.id in self.cold_ids:
-            return server.id in self.cold_ids
-        return server.slowness > SLOW_FACTOR * self.mean_slowness
-
     def remove_if_full(self, server):
         """Remove a server that has no room left for any waiting task."""
         if server.free.cpu < self.min_cpu:
--- a/buckthornshift/dispatch/_server_speeds.py
+++ b/buckthornshift/dispatch/_server_speeds.py
@@ -1,5 +1,7 @@
 """Speed of servers and of their kinds, learnt from the run times of tasks."""
 
+import collections
+import functools
 import math
 
 import attrs
@@ -10,12 +12,12 @@
 # Labels with this prefix name a rack; the other labels describe the hardware.
 RACK_PREFIX = "r-"
 # How often the speeds that placement uses are computed from what was learnt.
-REFRESH_INTERVAL_MS = 100.0
+REFRESH_INTERVAL_MS = 200.0
 # Largest effect of one run, as a logarithm. A run that takes seven times its estimate
 # has the effect of one that takes 1.6 times its estimate.
 MAX_RESIDUAL = 0.5
-# Weights of the latest run; about the last 100 runs of a queue, 400 runs of a kind and
-# 80 runs of a server count.
+# Weights of the latest run: about the last 100 runs of a queue, 400 of a kind and 80 of
+# a server count.
 QUEUE_GAIN = 0.02
 KIND_GAIN = 0.005
 SERVER_GAIN = 0.025
@@ -23,10 +25,16 @@
 # before the deviations of its servers are learnt and its speed is used.
 MIN_QUEUE_RUNS = 20
 MIN_KIND_RUNS = 50
+# Number of runs that an average of a kind comprises at most.
+MAX_KIND_RUNS = 400
 # Kinds that differ by less count as equal, as does a server that deviates less from its
-# kind (logarithms); the estimates of servers are noisier than those of kinds.
-MIN_KIND_SPREAD = 0.14
+# kind (logarithms).
+MIN_KIND_SPREAD = 0.1
 MIN_SERVER_DEVIATION = 0.25
+# Added to the first until kinds are known to differ: five standard deviations of the
+# difference of two averages of one run each, whose estimates are off by 40 %. The tasks
+# of one job share that error.
+KIND_SPREAD_ERROR = 3.0
 # Servers within one such step (logarithm) have the same rank, so that their remaining
 # capacity decides between them.
 RANK_STEP = 0.1
@@ -138,8 +146,8 @@
         self.context = context
         self.fleet = fleet
         self.duration_estimator = duration_estimator
-        self._average_by_queue = {}
-        self._average_by_kind = {}
+        self._average_by_queue = collections.defaultdict(_Average)
+        self._average_by_kind = collections.defaultdict(_Average)
         self._refreshed_ms = -REFRESH_INTERVAL_MS
         self._uneven_services = set()
         self._cold_ids_by_service = {}
@@ -172,8 +180,10 @@
         if spec.estimate_ms <= 0 or actual_ms <= 0:
             return
         job = run.task.job
-        queue = self._average_by_queue.setdefault(job.queue.name, _Average())
-        kind = self._average_by_kind.setdefault(get_kind(server.record), _Average())
+        queue = self._average_by_queue[job.queue.name]
+        kind = self._average_by_kind[
+            get_kind(server.record.service, server.record.labels)
+        ]
         ratio = math.log(actual_ms / spec.estimate_ms)
         residual = ratio - queue.value - kind.value
         if not server.speed.is_cold(self.context.now_ms):
@@ -213,7 +223,7 @@
         for report in reports:
             self._average_by_kind[report.kind] = _Average(
                 value=math.log(max(MIN_RATIO, report.slowness)),
-                n_values=round(1.0 / KIND_GAIN),
+                n_values=MAX_KIND_RUNS,
             )
 
     def forget_server(self, server):
@@ -256,7 +266,7 @@
         return slowness * self._get_queue_factor(queue)
 
     def refresh_if_due(self):
-        """Compute the speeds that placement uses, ten times a second at most."""
+        """Compute the speeds that placement uses, a few times a second at most."""
         elapsed_ms = self.context.now_ms - self._refreshed_ms
         if elapsed_ms < REFRESH_INTERVAL_MS:
             return
@@ -272,14 +282,17 @@
         slowness_by_kind = self._compute_kind_slowness(service, servers)
         is_uneven = service in self._uneven_services
         cold_ids = set()
+        decay = math.exp(-elapsed_ms / DEVIATION_MEMORY_MS)
+        rank_by_kind = {k: _round_slowness(v) for k, v in slowness_by_kind.items()}
         for server in servers:
             speed = server.speed
             if now_ms - speed.updated_ms > elapsed_ms:
-                speed.deviation *= math.exp(-elapsed_ms / DEVIATION_MEMORY_MS)
-            value = slowness_by_kind[get_kind(server.record)]
+                speed.deviation *= decay
+            kind = get_kind(server.record.service, server.record.labels)
+            server.relative_slowness = rank_by_kind[kind]
             if is_uneven and abs(speed.deviation) > MIN_SERVER_DEVIATION:
-                value += speed.deviation
-            server.relative_slowness = math.exp(RANK_STEP * round(value / RANK_STEP))
+                value = slowness_by_kind[kind] + speed.deviation
+                server.relative_slowness = _round_slowness(value)
             if speed.is_cold(now_ms):
                 cold_ids.add(server.id)
         if len(cold_ids) > MAX_COLD_SHARE * len(servers):
@@ -303,7 +316,7 @@
         """Return the slowness of each kind as a logarithm, or 0 if they are equal."""
         n_servers_by_kind = {}
         for server in servers:
-            kind = get_kind(server.record)
+            kind = get_kind(server.record.service, server.record.labels)
             n_servers_by_kind[kind] = n_servers_by_kind.get(kind, 0) + 1
         known = {
             kind: average
@@ -311,7 +324,9 @@
             if kind in n_servers_by_kind and average.n_values >= MIN_KIND_RUNS
         }
         values = [average.value for average in known.values()]
-        if len(values) < 2 or max(values) - min(values) < MIN_KIND_SPREAD:
+        if len(values) < 2 or max(values) - min(values) < self._compute_min_spread(
+            service, known.values()
+        ):
             self._uneven_services.discard(service)
             self._scarce_service_cells = {
                 key for key in self._scarce_service_cells if key[0] != service
@@ -332,6 +347,15 @@
             for kind in n_servers_by_kind
         }
 
+    def _compute_min_spread(self, service, averages):
+        """Return the difference from which the kinds of a service count as unequal."""
+        if service in self._uneven_services:
+            return MIN_KIND_SPREAD
+        n_runs = min(average.n_values for average in averages)
+        return MIN_KIND_SPREAD + KIND_SPREAD_ERROR / math.sqrt(
+            min(n_runs, MAX_KIND_RUNS)
+        )
+
     def _refresh_free_capacity(self, service, servers):
         """Note the capacity of the fast servers, and the most that is free by speed."""
         free_by_cell, total_by_cell, max_free_by_cell = {}, {}, {}
@@ -359,13 +383,19 @@
         return 1.0 if average is None else math.exp(average.value)
 
 
-def get_kind(record):
+def _round_slowness(value):
+    """Return the factor of a logarithm that is rounded to steps of a rank."""
+    return math.exp(RANK_STEP * round(value / RANK_STEP))
+
+
+@functools.lru_cache(maxsize=4_096)
+def get_kind(service, labels):
     """Return the kind of a server: its service and the labels of its hardware.
 
-    :param record: the :class:`ServerRecord`.
+    :param service: name of its service.
+    :param labels: its labels, with that of its rack.
     """
-    labels = (s for s in record.labels if not s.startswith(RACK_PREFIX))
-    return (record.service, *labels)
+    return (service, *(s for s in labels if not s.startswith(RACK_PREFIX)))
 
 
 def compute_path_from_ms(spec, step):
--- a/tests/dispatch/test_server_speeds.py
+++ b/tests/dispatch/test_server_speeds.py
@@ -112,8 +112,9 @@
 def test_servers_of_equal_speed_keep_a_relative_slowness_of_one():
     """Noise in run times would change the order of equal servers."""
     harness = SpeedsHarness(speeds=(1.0, 1.0, 1.0))
-    harness.end_runs(5_000)
-    assert {s.relative_slowness for s in harness.servers} == {1.0}
+    for _ in range(50):
+        harness.end_runs(100)
+        assert {s.relative_slowness for s in harness.servers} == {1.0}
     ratio = harness.speeds.duration_estimator.get_correction("q")
     assert harness.speeds.get_path_ratio(QUEUE, 16_000, 0) == ratio
 
@@ -136,12 +137,12 @@
     slow = harness.servers[0]
     harness.speed_by_id[slow.id] = 0.7 / 5.0
     harness.end_runs(8, servers=[slow])
-    harness.context.now_ms += 200.0
+    harness.context.now_ms += 300.0
     harness.speeds.refresh_if_due()
     assert harness.speeds.list_cold_ids("s") == {slow.id}
     harness.speed_by_id[slow.id] = 0.7
     harness.end_runs(15, servers=[slow])
-    harness.context.now_ms += 200.0
+    harness.context.now_ms += 300.0
     harness.speeds.refresh_if_due()
     assert harness.speeds.list_cold_ids("s") == set()
 
@@ -171,7 +172,7 @@
     assert [server_ids.count(f"s{i}") for i in range(6)] == [1, 2, 2, 1, 2, 2]
     for server_id in ("s0", "s3"):
         owner.core.fleet.by_id[server_id].speed.n_normal_runs = 3
-    owner.advance_time(200.0)
+    owner.advance_time(300.0)
     assert len(owner.pop(StartRun)) == 2
 
 
