FEA Loads with bursts of one queue on the sites of note 19

Cause: the losses of the demanding deployments occur in bursts of one queue, which an experiment could not declare; a refused caller never returned, so that the time to retry had no effect on the result.

Existing sites and their requests are unchanged, as callers retry only where the site says so.

--- a/buckthornshift/load/fleet/_fleet_experiment.py
+++ b/buckthornshift/load/fleet/_fleet_experiment.py
@@ -15,6 +15,7 @@
 from ._fleet_load import FleetLoadPlan, FleetLoadSimulation
 from ._records import FleetLoadResult
 from ._sites import SITES_BY_NAME
+from ._traffic import QueueBurst
 
 MAX_LENGTH_S = 300.0
 # Name under which the package of another version is imported beside this one.
@@ -61,6 +62,7 @@
     :param length_s: length of the load, in seconds.
     :param seed: seed of all random draws.
     :param faults: the :class:`DeclaredFault` of the run.
+    :param bursts: the :class:`QueueBurst` of the run.
     :param event_ms: processor time that an instance takes for one event.
     :param policies: changed :class:`~buckthornshift.dispatch.DispatchSettings`, by
         name of the policy; every policy gets the same requests and faults.
@@ -72,8 +74,9 @@
     length_s: float = 20.0
     seed: int = 1
     faults: tuple[DeclaredFault, ...] = ()
+    bursts: tuple[QueueBurst, ...] = ()
     event_ms: float = 0.0
-    policies: dict[str, dict[str, float]] = attrs.field(factory=dict)
+    policies: dict[str, dict[str, float | str]] = attrs.field(factory=dict)
 
     def make_plans(self):
         """Return the :class:`FleetLoadPlan` of each policy."""
@@ -89,6 +92,7 @@
                 length_ms=self.length_s * 1_000.0,
                 seed=self.seed,
                 faults=faults,
+                bursts=self.bursts,
                 event_ms=self.event_ms,
                 settings=DispatchSettings(**changes),
             )
@@ -121,11 +125,16 @@
     if isinstance(value, dict):
         for index, fault in enumerate(value.get("faults", ())):
             check_unknown_keys(fault, DeclaredFault, f"{where}.faults[{index}]")
+        for index, burst in enumerate(value.get("bursts", ())):
+            check_unknown_keys(burst, QueueBurst, f"{where}.bursts[{index}]")
     experiment = convert_value(value, FleetExperiment, where)
     check_choice(experiment.site, SITES_BY_NAME, f"{where}.site")
     for index, fault in enumerate(experiment.faults):
         kinds = [kind.value for kind in FleetFault]
         check_choice(fault.kind, kinds, f"{where}.faults[{index}].kind")
+    queue_names = [kind.name for kind in SITES_BY_NAME[experiment.site].kinds]
+    for index, burst in enumerate(experiment.bursts):
+        check_choice(burst.queue, queue_names, f"{where}.bursts[{index}].queue")
     _check_policies(experiment, where)
     check_length_s(experiment.length_s, MAX_LENGTH_S, f"{where}.length_s")
     return experiment
--- a/buckthornshift/load/fleet/_fleet_load.py
+++ b/buckthornshift/load/fleet/_fleet_load.py
@@ -15,7 +15,7 @@
 from ._site_callers import SiteCallers
 from ._sites import Site
 from ._stages import StageRecorder
-from ._traffic import draw_traffic
+from ._traffic import draw_queue_bursts, draw_traffic
 
 # Time for the instances to start and elect owners before the load.
 WARM_UP_MS = 2_000.0
@@ -35,6 +35,7 @@
     :param seed: seed of all random draws.
     :param faults: the :class:`~buckthornshift.proving.fleet.PlannedFault` of the
         run; times count from the start of the load.
+    :param bursts: the :class:`QueueBurst` of the run.
     :param event_ms: processor time that an instance takes for one event.
     :param settings: the :class:`~buckthornshift.dispatch.DispatchSettings`.
     """
@@ -45,6 +46,7 @@
     length_ms: float = 20_000.0
     seed: int = 1
     faults: tuple = ()
+    bursts: tuple = ()
     event_ms: float = 0.0
     settings: DispatchSettings = DispatchSettings()
 
@@ -54,9 +56,13 @@
         :returns: list of :class:`SiteArrival`, in order of time.
         """
         random_state = random.Random(self.seed)
-        return draw_traffic(
+        arrivals = draw_traffic(
             self.site, self.load, self.length_ms, random_state, self.faults
         )
+        added = draw_queue_bursts(
+            self.site, self.load, self.bursts, len(arrivals), random_state
+        )
+        return sorted(arrivals + added, key=lambda arrival: arrival.at_ms)
 
     def make_fleet_plan(self):
         """Return the plan of the simulated world, with faults after the warm-up.
@@ -128,6 +134,7 @@
         self._callers = SiteCallers(
             world=self.world,
             retry_delay_ms=plan.site.retry_delay_ms,
+            max_refused_retries=plan.site.max_refused_retries,
             on_outcome=self._record_outcome,
         )
         self.world.plan_run = self._plan_run
@@ -175,7 +182,7 @@
         )
         clock.schedule(CAPACITY_SAMPLE_INTERVAL_MS, self._sample_capacity)
 
-    def _record_outcome(self, arrival, outcome, reason, elapsed_ms):
+    def _record_outcome(self, arrival, outcome, reason, elapsed_ms, n_refusals):
         earned = 0.0
         stage_ms = {}
         if outcome in (RequestOutcome.IN_TIME, RequestOutcome.LATE):
@@ -197,6 +204,7 @@
                 fate=outcome,
                 reason=reason,
                 elapsed_ms=round(elapsed_ms, 2),
+                n_refusals=n_refusals,
                 credit=arrival.credit,
                 earned=earned,
                 stage_ms=stage_ms,
--- a/buckthornshift/load/fleet/_fleet_report.py
+++ b/buckthornshift/load/fleet/_fleet_report.py
@@ -87,6 +87,13 @@
             f"{summary.by_fate[outcome.value]:>11.3f}" for outcome in outcomes
         )
         lines.append(f"{name:<34}{summary.n_requests:>7}{summary.earned:>8.3f}{cells}")
+    n_retried = sum(record.n_refusals > 0 for record in result.records)
+    if n_retried:
+        n_served = sum(
+            record.n_refusals > 0 and record.fate is RequestOutcome.IN_TIME
+            for record in result.records
+        )
+        lines.append(f"refused at first: {n_retried}, in time at a retry: {n_served}")
     lines.extend(_render_stages(result))
     used_shares = [sample.used_share for sample in result.room]
     if used_shares:
@@ -127,6 +134,10 @@
         classify = make_size_classifier(records)
         for size, group in group_records(records, classify).items():
             yield f"size {size}", summarize(group)
+        for key, group in group_records(
+            records, lambda r: f"{r.kind}, {classify(r)}"
+        ).items():
+            yield key, summarize(group)
     for zone, group in group_records(records, lambda r: r.zone).items():
         yield zone, summarize(group)
     for at_ms, summary in find_worst_windows(records, result.length_ms):
--- a/buckthornshift/load/fleet/_records.py
+++ b/buckthornshift/load/fleet/_records.py
@@ -55,7 +55,9 @@
     :param at_ms: when it was first sent, from the start of the load.
     :param fate: its :class:`RequestOutcome`.
     :param reason: reason of a refusal or failure; empty if there is none.
-    :param elapsed_ms: time from its first sending to the outcome.
+    :param elapsed_ms: time to the outcome from its first sending, or from the first
+        sending after its last refusal.
+    :param n_refusals: how often it was refused before it was sent for the last time.
     :param credit: value of an answer in time.
     :param earned: value of the answer that its caller received.
     :param stage_ms: duration of each :class:`LatencyStage`; empty unless its job
@@ -70,6 +72,7 @@
     fate: RequestOutcome = RequestOutcome.NO_ANSWER
     reason: str = ""
     elapsed_ms: float = 0.0
+    n_refusals: int = 0
     credit: float = 0.0
     earned: float = 0.0
     stage_ms: dict[str, float] = attrs.field(factory=dict)
--- a/buckthornshift/load/fleet/_site_callers.py
+++ b/buckthornshift/load/fleet/_site_callers.py
@@ -13,17 +13,26 @@
 
     A caller prefers a ready instance in its own zone, then any ready instance, then
     any that is up. If the connection is lost, or its job ends without a final result,
-    it sends the request again, until it times out.
+    it sends the request again, until it times out. A refused request is sent again
+    after the time that the refusal names, as a new request with a time-out of its own.
 
     :param world: the :class:`~buckthornshift.proving.fleet.FleetWorld`.
     :param retry_delay_ms: delay before a request is sent again.
-    :param on_outcome: called with arrival, :class:`RequestOutcome`, reason and
-        elapsed time in milliseconds.
+    :param max_refused_retries: how often a refused request is sent again.
+    :param on_outcome: called with arrival, :class:`RequestOutcome`, reason, elapsed
+        time in milliseconds and number of refusals before the last sending.
     """
 
-    def __init__(self, world=None, retry_delay_ms=1_300.0, on_outcome=None):
+    def __init__(
+        self,
+        world=None,
+        retry_delay_ms=1_300.0,
+        max_refused_retries=0,
+        on_outcome=None,
+    ):
         self.world = world
         self.retry_delay_ms = retry_delay_ms
+        self.max_refused_retries = max_refused_retries
         self.on_outcome = on_outcome
         self.disconnect_probability = 0.0
         # The fault injector sets this during a burst, but it has no effect here: the
@@ -31,6 +40,7 @@
         self.rate_factor = 1.0
         self._connection_by_ref = {}
         self._sent_ms_by_job = {}
+        self._n_refusals_by_job = {}
         self._last_ref = 0
         world.on_answer = self._on_answer
         world.on_lost_request = self._on_connection_lost
@@ -41,7 +51,10 @@
         self._send(arrival)
         if arrival.leave_draw < self.disconnect_probability:
             self.world.clock.schedule(arrival.leave_after_ms, self._leave, arrival)
-        self.world.clock.schedule(arrival.timeout_ms, self._time_out, arrival)
+        n_refusals = self._n_refusals_by_job.setdefault(arrival.job.job_id, 0)
+        self.world.clock.schedule(
+            arrival.timeout_ms, self._time_out, arrival, n_refusals
+        )
 
     def _send(self, arrival):
         world = self.world
@@ -101,12 +114,21 @@
                     RequestOutcome.LATE if is_late else RequestOutcome.IN_TIME,
                 )
             case Outcome.NOT_RUN:
-                self._finish(arrival, RequestOutcome.REFUSED, action.reason.value)
+                self._on_refused(arrival, action)
             case _ if action.reason in FINAL_REASONS:
                 self._finish(arrival, RequestOutcome.FAILED, action.reason.value)
             case _:
                 self._schedule_retry(arrival)
 
+    def _on_refused(self, arrival, action):
+        job_id = arrival.job.job_id
+        if self._n_refusals_by_job[job_id] >= self.max_refused_retries:
+            self._finish(arrival, RequestOutcome.REFUSED, action.reason.value)
+            return
+        self._n_refusals_by_job[job_id] += 1
+        del self._sent_ms_by_job[job_id]
+        self.world.clock.schedule(action.retry_after_ms, self.send, arrival)
+
     def _on_connection_lost(self, arrival):
         self.world.oracle.record_lost_request(arrival.job)
         self._schedule_retry(arrival)
@@ -119,8 +141,10 @@
             self._finish(arrival, RequestOutcome.LEFT)
             self._disconnect(arrival)
 
-    def _time_out(self, arrival):
-        if arrival.job.job_id in self._sent_ms_by_job:
+    def _time_out(self, arrival, n_refusals):
+        job_id = arrival.job.job_id
+        is_current = n_refusals == self._n_refusals_by_job.get(job_id)
+        if is_current and job_id in self._sent_ms_by_job:
             self._finish(arrival, RequestOutcome.NO_ANSWER)
             self._disconnect(arrival)
 
@@ -139,7 +163,9 @@
 
     def _finish(self, arrival, outcome, reason=""):
         sent_ms = self._sent_ms_by_job.pop(arrival.job.job_id)
-        self.on_outcome(arrival, outcome, reason, self.world.clock.now_ms - sent_ms)
+        n_refusals = self._n_refusals_by_job.pop(arrival.job.job_id)
+        elapsed_ms = self.world.clock.now_ms - sent_ms
+        self.on_outcome(arrival, outcome, reason, elapsed_ms, n_refusals)
 
     def _find_queue(self, arrival):
         queues = self.world.configuration.queues
--- a/buckthornshift/load/fleet/_sites.py
+++ b/buckthornshift/load/fleet/_sites.py
@@ -52,6 +52,8 @@
     :param timeout_slack_ms: how long callers wait beyond that.
     :param run_to_estimate_ratio: mean ratio of real run times to estimates.
     :param retry_delay_ms: delay before callers send a request again.
+    :param max_refused_retries: how often a caller sends a refused request again,
+        after the time that the refusal names.
     :param n_zones: number of availability zones.
     :param n_instances: number of dispatching instances.
     :param n_servers: number of backend servers.
@@ -73,6 +75,7 @@
     timeout_slack_ms: float = 1_500.0
     run_to_estimate_ratio: float = 1.3
     retry_delay_ms: float = 1_300.0
+    max_refused_retries: int = 0
     n_zones: int = 3
     n_instances: int = 9
     n_servers: int = 24
@@ -185,6 +188,69 @@
     inter_zone_delay_ms=1.4,
     client_delay_ms=1.0,
 )
+
+
+def _make_demanding_site(name, rates_per_s, run_ms, speeds):
+    """Return a site of docs/design/19-hard-load.md.
+
+    :param name: name of the site.
+    :param rates_per_s: jobs a second of the queues "urgent", "standard" and "long".
+    :param run_ms: mean estimated run time of a task of each of these queues.
+    :param speeds: speed of the servers of the kinds a, a and b.
+    """
+    n_tasks = (8, 2, 4)
+    kinds = tuple(
+        RequestKind(
+            name=queue,
+            weight=rates_per_s[index],
+            n_tasks=n_tasks[index],
+            max_tasks=4 * n_tasks[index],
+            run_ms=run_ms[index],
+            max_run_ms=4.0 * run_ms[index],
+            priority=index,
+        )
+        for index, queue in enumerate(("urgent", "standard", "long"))
+    )
+    return Site(
+        name=name,
+        service=name,
+        kinds=kinds,
+        rate_per_s=sum(rates_per_s),
+        task_cpu=16_000.0,
+        max_task_cpu=24_000.0,
+        target_ms=62.0,
+        run_to_estimate_ratio=1.0,
+        max_refused_retries=2,
+        n_instances=44,
+        n_servers=176,
+        server_kinds=(
+            ServerKind(label="a", cpu=32_000, speed=speeds[0]),
+            ServerKind(label="a", cpu=32_000, speed=speeds[1]),
+            ServerKind(label="b", cpu=48_000, speed=speeds[2]),
+        ),
+    )
+
+
+def _divide(site, n_parts):
+    """Return a part of a site: its rate, instances and servers divided by a number."""
+    return attrs.evolve(
+        site,
+        name=f"{site.name}-{n_parts}th",
+        rate_per_s=site.rate_per_s / n_parts,
+        n_instances=site.n_instances // n_parts,
+        n_servers=site.n_servers // n_parts,
+    )
+
+
+SKIPS = _make_demanding_site(
+    "skips", (103.0, 300.0, 18.7), (60.0, 200.0, 900.0), (0.8, 1.0, 1.25)
+)
+SPLITS = _make_demanding_site(
+    "splits", (90.7, 264.0, 16.5), (51.0, 170.0, 760.0), (0.7, 0.7, 1.7)
+)
+TREASURY_SHIFTED = _make_demanding_site(
+    "treasury-shifted", (77.0, 225.0, 24.4), (60.0, 200.0, 900.0), (0.8, 1.0, 1.25)
+)
 # Request rate of the grown sites, relative to the present ones.
 GROWN_RATE_FACTOR = 6.0
 SITES_BY_NAME = {
@@ -192,6 +258,12 @@
     for site in (
         TREASURY,
         PATROL,
+        SKIPS,
+        SPLITS,
+        TREASURY_SHIFTED,
+        _divide(SKIPS, 4),
+        _divide(SPLITS, 4),
+        _divide(TREASURY_SHIFTED, 4),
         attrs.evolve(
             TREASURY,
             name="treasury-grown",
--- a/buckthornshift/load/fleet/_traffic.py
+++ b/buckthornshift/load/fleet/_traffic.py
@@ -25,6 +25,22 @@
 BURST_FACTOR = 1.3
 
 
+@attrs.frozen(kw_only=True)
+class QueueBurst:
+    """A period in which one queue gets more requests than usual.
+
+    :param queue: name of the queue.
+    :param factor: its rate relative to the usual one.
+    :param at_s: when it begins, in seconds from the start of the load.
+    :param for_s: how long it lasts, in seconds.
+    """
+
+    queue: str = ""
+    factor: float = 2.0
+    at_s: float = 0.0
+    for_s: float = 5.0
+
+
 @attrs.frozen(kw_only=True)
 class SiteArrival:
     """A request as its caller sends it, with the random draws that belong to it.
@@ -95,8 +111,37 @@
         arrivals.append(_draw_request(site, at_ms, len(arrivals), request_random_state))
 
 
-def _draw_request(site, at_ms, index, random_state):
-    kind = random_state.choices(site.kinds, [k.weight for k in site.kinds])[0]
+def draw_queue_bursts(site, load, bursts, first_index, random_state):
+    """Draw the requests that bursts of single queues add to a load.
+
+    :param site: the :class:`Site`.
+    :param load: factor on its rate.
+    :param bursts: the :class:`QueueBurst` of the run.
+    :param first_index: number of the first added request.
+    :param random_state: a :class:`random.Random`.
+    :returns: list of :class:`SiteArrival`.
+    """
+    kind_by_name = {kind.name: kind for kind in site.kinds}
+    total_weight = sum(kind.weight for kind in site.kinds)
+    arrivals = []
+    for burst in bursts:
+        kind = kind_by_name[burst.queue]
+        rate_per_s = load * site.rate_per_s * kind.weight / total_weight
+        added_per_ms = (burst.factor - 1.0) * rate_per_s / 1_000.0
+        at_ms = burst.at_s * 1_000.0
+        end_ms = at_ms + burst.for_s * 1_000.0
+        while (at_ms := at_ms + random_state.expovariate(added_per_ms)) < end_ms:
+            index = first_index + len(arrivals)
+            request_random_state = random.Random(random_state.getrandbits(64))
+            arrivals.append(
+                _draw_request(site, at_ms, index, request_random_state, kind)
+            )
+    return arrivals
+
+
+def _draw_request(site, at_ms, index, random_state, kind=None):
+    if kind is None:
+        kind = random_state.choices(site.kinds, [k.weight for k in site.kinds])[0]
     n_tasks = int(_draw_lognormal(kind.n_tasks, JOB_SIGMA, random_state) + 0.5)
     n_tasks = min(kind.max_tasks, max(1, n_tasks))
     mean_run_ms = min(
--- a/tests/load/fleet/test_site_load.py
+++ b/tests/load/fleet/test_site_load.py
@@ -21,7 +21,7 @@
     render_fleet_results,
     summarize,
 )
-from buckthornshift.load.fleet._traffic import draw_traffic
+from buckthornshift.load.fleet._traffic import QueueBurst, draw_traffic
 from buckthornshift.load.fleet._upper_bound import (
     compute_packing_weight,
     compute_upper_bound,
@@ -55,6 +55,28 @@
     assert len(with_burst) > len(without_burst)
 
 
+def test_burst_of_a_queue_adds_only_its_requests():
+    plan = FleetLoadPlan(site=PATROL, length_ms=4_000.0)
+    burst = QueueBurst(queue="span", factor=3.0, at_s=1.0, for_s=2.0)
+    usual = plan.draw_arrivals()
+    arrivals = attrs.evolve(plan, bursts=(burst,)).draw_arrivals()
+    added = [arrival for arrival in arrivals if arrival not in usual]
+    assert len(arrivals) == len(usual) + len(added)
+    assert len({arrival.job.job_id for arrival in arrivals}) == len(arrivals)
+    assert {arrival.kind.name for arrival in added} == {"span"}
+    assert all(1_000.0 <= arrival.at_ms < 3_000.0 for arrival in added)
+
+
+def test_refused_request_is_sent_again_after_the_named_time():
+    """Guards against a load in which a retry can't succeed."""
+    site = attrs.evolve(PATROL, max_refused_retries=2)
+    plan = FleetLoadPlan(site=site, load=2.5, length_ms=3_000.0)
+    records = FleetLoadSimulation(plan=plan).run().records
+    retried = [record for record in records if record.n_refusals]
+    assert any(record.fate is RequestOutcome.IN_TIME for record in retried)
+    assert max(record.n_refusals for record in retried) == 2
+
+
 def test_load_without_faults_is_served_in_time(calm_run):
     _, result = calm_run
     summary = summarize(result.records)
@@ -138,6 +160,7 @@
         ('{"lenght_s": 3}', "lenght_s"),
         ('{"length_s": 0}', "length_s"),
         ('{"faults": [{"kind": "flood"}]}', "faults[0].kind"),
+        ('{"bursts": [{"queue": "tide"}]}', "bursts[0].queue"),
         ('{"policies": {"fast": {"speed": 1}}}', "policies.fast"),
     ],
 )
