FEA Setting overload_order: jobs start by their cost to callers

Cause: under overload the order ignored the work of a job, and tasks of begun jobs that were late came last, so that jobs began and then failed at their deadline.

Change: with "cost", the urgency of a job is the cost to its caller (weight of the priority, plus a part that grows with its work relative to its queue's mean) for its remaining corrected work; a late job has lost 0.8 of its cost. Before these come begun jobs whose caller leaves soon, and jobs of a queue and size class of which less than 0.4 of the usual arrivals is served (arrivals and losses of the last 3 s). Callers that are refused are spread over the time that the cause lasts by a hash of the job's id.

--- a/buckthornshift/dispatch/_admission.py
+++ b/buckthornshift/dispatch/_admission.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from ._overload_cost import make_objective_sort_key
 from ._peer_messages import EndReason
 
 # Remaining time assumed for a run that takes longer than expected, as a fraction of its
@@ -40,12 +41,16 @@
     :param context: the shared :class:`DispatchContext`.
     :param fleet: the :class:`Fleet`.
     :param duration_estimator: the :class:`DurationEstimator`.
+    :param job_order: the :class:`ObjectiveOrder` or :class:`CostOrder`.
     """
 
-    def __init__(self, context=None, fleet=None, duration_estimator=None):
+    def __init__(
+        self, context=None, fleet=None, duration_estimator=None, job_order=None
+    ):
         self.context = context
         self.fleet = fleet
         self.duration_estimator = duration_estimator
+        self.job_order = job_order
         self._remaining_by_service_cell = {}
 
     def check(self, job, open_jobs):
@@ -55,6 +60,7 @@
         :param open_jobs: the jobs of its cell that have no outcome yet.
         """
         context = self.context
+        self.job_order.record_arrival(job)
         for step in job.spec.steps:
             if not self.fleet.can_ever_run(job.queue.service, step, job.cell):
                 return JobRefusal(
@@ -77,7 +83,10 @@
         # The error of the estimate is about the constant part of the objective.
         slack_ms = max(job.queue.target_ms, job.latest_start_ms - context.now_ms)
         if wait_ms > slack_ms:
-            retry_after_ms = min(wait_ms, self._bound_wait_ms(job, open_jobs))
+            self.job_order.record_loss(job)
+            retry_after_ms = self.job_order.spread_retry_ms(
+                job, min(wait_ms, self._bound_wait_ms(job, open_jobs))
+            )
             return JobRefusal(
                 reason=EndReason.OVERLOADED,
                 detail=f"expected wait {wait_ms:.0f} ms, slack {slack_ms:.0f} ms",
@@ -100,14 +109,14 @@
 
     def _count_ahead(self, job, open_jobs):
         """Return how many waiting tasks of its service start before a job's tasks."""
-        now_ms = self.context.now_ms
-        sort_key = make_job_sort_key(job, now_ms)
+        make_sort_key = self.job_order.make_sort_key
+        sort_key = make_sort_key(job)
         return sum(
             len(other.waiting_by_name)
             for other in open_jobs
             if other.waiting_by_name
             and other.queue.service == job.queue.service
-            and make_job_sort_key(other, now_ms) <= sort_key
+            and make_sort_key(other) <= sort_key
         )
 
     def _estimate_wait_ms(self, job, n_needed):
@@ -162,14 +171,25 @@
         return remaining_ms
 
 
-def make_job_sort_key(job, now_ms):
-    """Return the key by which jobs are sorted to start.
-
-    Jobs that can still meet their latency objective come first, then those with the
-    operators' higher priority (a lower number), then those that must start earliest.
+class ObjectiveOrder:
+    """Order jobs by their latency objective and priority.
 
-    :param job: the :class:`Job`.
-    :param now_ms: the current time.
+    :param context: the shared :class:`DispatchContext`.
     """
-    is_late = now_ms > job.latest_start_ms
-    return (is_late, job.queue.priority, job.latest_start_ms)
+
+    def __init__(self, context=None):
+        self.context = context
+
+    def record_arrival(self, job):
+        """Do nothing, as the order needs no rates."""
+
+    def record_loss(self, job):
+        """Do nothing, as the order needs no shares."""
+
+    def make_sort_key(self, job):
+        """Return the key by which jobs are sorted to start."""
+        return make_objective_sort_key(job, self.context.now_ms)
+
+    def spread_retry_ms(self, job, retry_after_ms):
+        """Return the time after which a refused caller should retry, unchanged."""
+        return retry_after_ms
--- a/buckthornshift/dispatch/_core.py
+++ b/buckthornshift/dispatch/_core.py
@@ -3,7 +3,7 @@
 import attrs
 
 from ._actions import LogCode
-from ._admission import AdmissionController
+from ._admission import AdmissionController, ObjectiveOrder
 from ._cells import Cells
 from ._context import DispatchContext
 from ._crash_history import CrashHistory
@@ -30,8 +30,10 @@
 from ._list_publisher import ListPublisher
 from ._load_shedding import LoadShedder
 from ._membership import Membership
+from ._overload_cost import CostOrder
 from ._owner_jobs import OwnerJobs
 from ._peer_messages import ConfigurationUpdate
+from ._queue_shares import QueueShares
 from ._request_router import RequestRouter
 from ._runs import RunTracker
 from ._scheduler import TaskScheduler
@@ -127,6 +129,7 @@
             "n_requests": len(self.request_router.by_key),
             "n_jobs": len(self.jobs.by_id),
             "n_runs": self.runs.n_open,
+            "queue_shares": self.queue_shares.dump(),
             "lag_ms": round(self.load_shedder.lag_ms, 1),
             "peers": [_dump_peer(p) for p in self.membership.by_address.values()],
             "servers": [_dump_server(s) for s in self.fleet.by_id.values()],
@@ -141,10 +144,13 @@
             context=context, membership=self.membership, fleet=self.fleet
         )
         self.duration_estimator = DurationEstimator()
+        self.queue_shares = QueueShares(context=context)
+        self.job_order = self._make_job_order()
         self.admission = AdmissionController(
             context=context,
             fleet=self.fleet,
             duration_estimator=self.duration_estimator,
+            job_order=self.job_order,
         )
         self.jobs = OwnerJobs(
             context=context,
@@ -201,6 +207,7 @@
             jobs=self.jobs,
             runs=self.runs,
             cells=self.cells,
+            job_order=self.job_order,
         )
         self.cells.count_waiting_cpu = self.scheduler.count_waiting_cpu
         self.shutdown = GracefulShutdown(
@@ -222,6 +229,15 @@
             self.shutdown,
         )
 
+    def _make_job_order(self):
+        if self.context.settings.overload_order == "objective":
+            return ObjectiveOrder(context=self.context)
+        return CostOrder(
+            context=self.context,
+            shares=self.queue_shares,
+            duration_estimator=self.duration_estimator,
+        )
+
     def _subscribe(self):
         return {
             ConfigurationRead: self._on_configuration_read,
--- a/buckthornshift/dispatch/_jobs.py
+++ b/buckthornshift/dispatch/_jobs.py
@@ -126,6 +126,9 @@
     :param waiting_by_name: the tasks that wait for a server, by name.
     :param submissions: each :class:`Submission` whose sender waits for the outcome.
     :param is_resent: whether a former owner may have started it.
+    :param work: expected work, in millicore-milliseconds; 0 if it is not used.
+    :param loss_cost: what its caller loses if it is not served; 0 if it is not used.
+    :param size_class: 0 for most jobs of its queue, higher for the larger ones.
     :param n_runs_started: number of start commands that were sent and not rejected.
     :param n_unfinished: number of tasks that are not done, by step.
     :param is_ended: whether its outcome is decided.
@@ -144,6 +147,9 @@
     waiting_by_name: dict = attrs.field(factory=dict)
     submissions: list = attrs.field(factory=list)
     is_resent: bool = False
+    work: float = 0.0
+    loss_cost: float = 0.0
+    size_class: int = 0
     n_runs_started: int = 0
     n_unfinished: list = attrs.field(factory=list)
     is_ended: bool = False
--- a/buckthornshift/dispatch/_owner_jobs.py
+++ b/buckthornshift/dispatch/_owner_jobs.py
@@ -326,6 +326,9 @@
         if job.is_ended:
             return
         job.is_ended = True
+        is_late = self.context.now_ms > job.objective_deadline_ms
+        if is_late or ended.outcome is not Outcome.COMPLETED:
+            self.admission.job_order.record_loss(job)
         self.context.log(
             LogCode.JOB_ENDED,
             job.job_id,
--- a/buckthornshift/dispatch/_scheduler.py
+++ b/buckthornshift/dispatch/_scheduler.py
@@ -1,6 +1,5 @@
 """Scheduling: which waiting task starts next, and on which server."""
 
-from ._admission import make_job_sort_key
 from ._peer_messages import EndReason
 
 # Shortest duration assumed for a job, as a fraction of the expected one; 95% of jobs
@@ -22,14 +21,24 @@
     :param jobs: the :class:`OwnerJobs`.
     :param runs: the :class:`RunTracker`.
     :param cells: the :class:`Cells`.
+    :param job_order: the :class:`ObjectiveOrder` or :class:`CostOrder`.
     """
 
-    def __init__(self, context=None, fleet=None, jobs=None, runs=None, cells=None):
+    def __init__(
+        self,
+        context=None,
+        fleet=None,
+        jobs=None,
+        runs=None,
+        cells=None,
+        job_order=None,
+    ):
         self.context = context
         self.fleet = fleet
         self.jobs = jobs
         self.runs = runs
         self.cells = cells
+        self.job_order = job_order
         self.is_pass_requested = False
 
     def request_pass(self, message):
@@ -51,11 +60,10 @@
         )
 
     def _schedule_cell(self, cell):
-        now_ms = self.context.now_ms
         jobs = [job for job in self.jobs.list_open(cell) if job.waiting_by_name]
         if not jobs:
             return
-        jobs.sort(key=lambda job: make_job_sort_key(job, now_ms))
+        jobs.sort(key=self.job_order.make_sort_key)
         candidates_by_service = self._find_candidates(jobs, cell)
         for job in jobs:
             if self._cannot_meet_deadline(job):
@@ -84,7 +92,8 @@
         return candidates_by_service
 
     def _end_overloaded(self, job):
-        retry_after_ms = self.context.settings.min_retry_after_ms
+        min_ms = self.context.settings.min_retry_after_ms
+        retry_after_ms = self.job_order.spread_retry_ms(job, min_ms)
         self.jobs.end_early(job, EndReason.OVERLOADED, retry_after_ms)
 
     def _cannot_meet_deadline(self, job):
--- a/buckthornshift/dispatch/_settings.py
+++ b/buckthornshift/dispatch/_settings.py
@@ -4,6 +4,7 @@
 
 # Longest time that a server takes to stop a run.
 MAX_STOP_DURATION_MS = 50.0
+OVERLOAD_ORDERS = ("objective", "cost")
 
 
 @attrs.frozen(kw_only=True)
@@ -83,6 +84,9 @@
     :param stop_max_ms: longest time from the stop request to the exit; the platform
         kills the process after 6 s.
     :param min_retry_after_ms: shortest retry-after time sent to a refused caller.
+    :param overload_order: which jobs start first when there is not enough capacity:
+        "objective" for those that can meet their objective, by priority, or "cost" for
+        those whose loss costs callers most for the work that they need.
     :param few_instances: up to this number, every instance sends heartbeats to every
         other one at the same interval: 128 heartbeats per second. Well above the users'
         42 instances.
@@ -121,6 +125,9 @@
     stop_min_ms: float = 3_000.0
     stop_max_ms: float = 5_500.0
     min_retry_after_ms: float = 200.0
+    overload_order: str = attrs.field(
+        default="objective", validator=attrs.validators.in_(OVERLOAD_ORDERS)
+    )
     few_instances: int = 64
     n_hubs: int = 8
     cell_servers: int = 256
--- a/buckthornshift/load/fleet/_sites.py
+++ b/buckthornshift/load/fleet/_sites.py
@@ -207,6 +207,8 @@
             max_tasks=4 * n_tasks[index],
             run_ms=run_ms[index],
             max_run_ms=4.0 * run_ms[index],
+            credit=0.5**index,
+            late_credit=0.2 * 0.5**index,
             priority=index,
         )
         for index, queue in enumerate(("urgent", "standard", "long"))
