--- a/buckthornshift/dispatch/_placement_report.py
+++ b/buckthornshift/dispatch/_placement_report.py
@@ -11,7 +11,6 @@
 
 from ..timers import TimerQueue
 from ._actions import LogCode, LogLine
-from ._admission import make_job_sort_key
 from ._events import PeerMessageReceived
 from ._fleet import Ownership
 from ._internal_messages import SubmissionEnded
@@ -272,12 +271,12 @@
     def _describe_wait(self, jobs, job):
         now_ms = jobs.context.now_ms
         service = job.queue.service
-        sort_key = make_job_sort_key(job, now_ms)
+        make_sort_key = jobs.admission.job_order.make_sort_key
+        sort_key = make_sort_key(job)
         n_ahead = sum(
             len(other.waiting_by_name)
             for other in jobs.list_open(job.cell)
-            if other.queue.service == service
-            and make_job_sort_key(other, now_ms) <= sort_key
+            if other.queue.service == service and make_sort_key(other) <= sort_key
         )
         need_cpu = max(1, max(step.need.cpu for step in job.spec.steps))
         n_free = self.core.fleet.count_free_slots(service, need_cpu, job.cell)
--- a/buckthornshift/dispatch/_server_lives.py
+++ b/buckthornshift/dispatch/_server_lives.py
@@ -175,6 +175,7 @@
         )
         if server.is_held:
             self._bar_late_starts(server)
+        self.runs.server_speeds.forget_server(server)
         self.runs.adoption.clear_former(server)
         self._fail_jobs(self.crash_history.confirm_former(server))
         context.post(ServersChanged())
--- a/buckthornshift/load/fleet/_sites.py
+++ b/buckthornshift/load/fleet/_sites.py
@@ -56,6 +56,8 @@
     :param is_objective_nominal: whether latency objectives are based on the mean run
         time of a job's tasks, and not on the drawn time of its longest one.
     :param retry_delay_ms: delay before callers send a request again.
+    :param max_refused_retries: how often a caller sends a refused request again,
+        after the time that the refusal names.
     :param n_zones: number of availability zones.
     :param n_instances: number of dispatching instances.
     :param n_servers: number of backend servers.
@@ -80,6 +82,7 @@
     outlier_factor: float = 1.0
     is_objective_nominal: bool = False
     retry_delay_ms: float = 1_300.0
+    max_refused_retries: int = 0
     n_zones: int = 3
     n_instances: int = 9
     n_servers: int = 24
@@ -194,19 +197,22 @@
 )
 
 
-def _make_uneven_site(name, rates_per_s, run_times_ms, speeds, **parameters):
-    """Return a site of docs/design/19-hard-load.md whose servers differ in speed.
+def _make_demanding_site(
+    name, rates_per_s, run_times_ms, speeds, queue_names, credits, **parameters
+):
+    """Return a site of docs/design/19-hard-load.md.
 
     :param name: name of the site.
-    :param rates_per_s: requests per second by priority.
-    :param run_times_ms: mean run times of tasks by priority.
-    :param speeds: speeds of the servers, taken in turn.
+    :param rates_per_s: jobs per second of each queue, by priority.
+    :param run_times_ms: mean run times of tasks, by priority.
+    :param speeds: speeds of the kinds of servers a, a and b.
+    :param queue_names: names of the queues, by priority.
+    :param credits: credit of a job that is served in time, by priority.
     """
-    credits = (0.0291, 0.01, 0.16)
     widths = (8, 2, 4)
     kinds = tuple(
         RequestKind(
-            name=f"priority-{priority}",
+            name=queue_name,
             weight=rates_per_s[priority],
             n_tasks=widths[priority],
             max_tasks=4 * widths[priority],
@@ -216,7 +222,7 @@
             late_credit=0.2 * credits[priority],
             priority=priority,
         )
-        for priority in range(len(widths))
+        for priority, queue_name in enumerate(queue_names)
     )
     server_kinds = zip("aab", (32_000, 32_000, 48_000), speeds, strict=True)
     return Site(
@@ -228,7 +234,6 @@
         max_task_cpu=24_000.0,
         target_ms=62.0,
         run_to_estimate_ratio=1.0,
-        is_objective_nominal=True,
         n_servers=176,
         server_kinds=tuple(
             ServerKind(label=label, cpu=cpu, speed=speed)
@@ -238,22 +243,63 @@
     )
 
 
-SKIPS = _make_uneven_site(
-    name="skips",
-    rates_per_s=(103.0, 300.0, 18.7),
-    run_times_ms=(60.0, 200.0, 900.0),
-    speeds=(0.8, 1.0, 1.25),
-    n_instances=44,
-)
-SPLITS = _make_uneven_site(
-    name="splits",
-    rates_per_s=(90.7, 264.0, 16.5),
-    run_times_ms=(51.0, 170.0, 760.0),
-    speeds=(0.7, 0.7, 1.7),
+def _divide(site, n_parts):
+    """Return a part of a site: its rate, instances and servers divided by a number."""
+    return attrs.evolve(
+        site,
+        name=f"{site.name}-{n_parts}th",
+        rate_per_s=site.rate_per_s / n_parts,
+        n_instances=site.n_instances // n_parts,
+        n_servers=site.n_servers // n_parts,
+    )
+
+
+SKIPS_LOAD = {
+    "rates_per_s": (103.0, 300.0, 18.7),
+    "run_times_ms": (60.0, 200.0, 900.0),
+    "speeds": (0.8, 1.0, 1.25),
+    "n_instances": 44,
+}
+SPLITS_LOAD = {
+    "rates_per_s": (90.7, 264.0, 16.5),
+    "run_times_ms": (51.0, 170.0, 760.0),
+    "speeds": (0.7, 0.7, 1.7),
+}
+TREASURY_SHIFTED_LOAD = {
+    "rates_per_s": (77.0, 225.0, 24.4),
+    "run_times_ms": (60.0, 200.0, 900.0),
+    "speeds": (0.8, 1.0, 1.25),
+    "n_instances": 44,
+}
+# Sites for placement on servers of different speed.
+PLACEMENT = {
+    "queue_names": ("priority-0", "priority-1", "priority-2"),
+    "credits": (0.0291, 0.01, 0.16),
+    "is_objective_nominal": True,
+}
+SKIPS = _make_demanding_site("skips", **SKIPS_LOAD, **PLACEMENT)
+SPLITS = _make_demanding_site(
+    "splits",
+    **SPLITS_LOAD,
+    **PLACEMENT,
     n_instances=30,
     outlier_share=1.0 / 33.0,
     outlier_factor=7.0,
 )
+# Sites for overload, in which callers retry after a refusal.
+OVERLOAD = {
+    "queue_names": ("urgent", "standard", "long"),
+    "credits": (1.0, 0.5, 0.25),
+    "max_refused_retries": 2,
+}
+OVERLOAD_SITES = tuple(
+    _divide(_make_demanding_site(name, **load, **OVERLOAD), 4)
+    for name, load in (
+        ("skips", SKIPS_LOAD),
+        ("splits", SPLITS_LOAD | {"n_instances": 44}),
+        ("treasury-shifted", TREASURY_SHIFTED_LOAD),
+    )
+)
 # Request rate of the grown sites, relative to the present ones.
 GROWN_RATE_FACTOR = 6.0
 SITES_BY_NAME = {
@@ -270,6 +316,7 @@
                 attrs.evolve(kind, speed=1.0) for kind in SKIPS.server_kinds
             ),
         ),
+        *OVERLOAD_SITES,
         attrs.evolve(
             TREASURY,
             name="treasury-grown",
