FIX Repeated stops go to the new address of a restarted server

Cause: when the list showed a restart, stops for starts that had timed out were sent before the connections to the former address were closed, so they went there.

Change: the connections are closed first. The test fails with the former order.

--- a/buckthornshift/dispatch/_server_lives.py
+++ b/buckthornshift/dispatch/_server_lives.py
@@ -41,9 +41,9 @@
     def on_servers_restarted(self, message):
         """Ask restarted servers for their runs, over new connections."""
         for server in message.servers:
-            self._record_restart(server, "list")
             # Its connections are broken, and its address may have changed.
             self.context.emit(DisconnectServer(server_id=server.id))
+            self._record_restart(server, "list")
             self.lease_manager.ask_again(server)
 
     def is_stale(self, server, event):
--- a/tests/dispatch/test_server_lives.py
+++ b/tests/dispatch/test_server_lives.py
@@ -7,6 +7,7 @@
 from buckthornshift.dispatch import (
     Configuration,
     ConfigurationRead,
+    DisconnectServer,
     DispatchSettings,
     EndedTask,
     EndKind,
@@ -402,6 +403,18 @@
     assert server.free.cpu == 0
 
 
+def test_restarted_server_is_called_at_its_new_address():
+    owner = Owner(n_servers=1)
+    owner.server("s0").barred_by_name["x.0.0.0"] = (1, 1e9)
+    owner.restart("s0")
+    owner.actions.clear()
+    owner.write_entry("s0", host="10.0.0.2")
+    calls = [a for a in owner.actions if not isinstance(a, LogLine | SendToPeer)]
+    assert calls[0] == DisconnectServer(server_id="s0")
+    assert {type(call) for call in calls[1:]} == {StopRun, RenewLease}
+    assert {call.server.host for call in calls[1:]} == {"10.0.0.2"}
+
+
 def test_clock_is_read_again_before_a_task_starts():
     owner = Owner(n_servers=1)
     owner.silent_ids.add("s0")
