--- a/buckthornshift/dispatch/_server_speeds.py
+++ b/buckthornshift/dispatch/_server_speeds.py
@@ -1,7 +1,6 @@
 """Speed of servers and of their kinds, learnt from the run times of tasks."""
 
 import collections
-import functools
 import math
 
 import attrs
@@ -388,7 +387,6 @@
     return math.exp(RANK_STEP * round(value / RANK_STEP))
 
 
-@functools.lru_cache(maxsize=4_096)
 def get_kind(service, labels):
     """Return the kind of a server: its service and the labels of its hardware.
 
