TST The mutation that loses all runs at a restart is shown by seed 316

Cause: restarted servers get few tasks at first since placement goes by speed, so seed 58 shows it no longer; of the seeds 60 to 500 only 316 does. The assertion is the same.

--- a/tests/proving/fleet/test_restarted_servers.py
+++ b/tests/proving/fleet/test_restarted_servers.py
@@ -10,7 +10,7 @@
 CRASH_KINDS = [FleetFault.SERVER_RESTARTS, FleetFault.TASKS_CRASH_SERVERS]
 
 
-@pytest.mark.parametrize("seed", (0, 36, 58))
+@pytest.mark.parametrize("seed", (0, 36, 58, 316))
 def test_restarted_servers_are_used_again(seed):
     result = run_fleet_seed(seed, kinds=KINDS, n_faults=4)
     assert result.violation is None, result.detail
@@ -29,7 +29,7 @@
     assert result.violation is None, result.detail
 
 
-@pytest.mark.parametrize("seed", (36, 58))
+@pytest.mark.parametrize("seed", (36, 316))
 def test_losing_all_runs_at_a_restart_runs_a_task_twice(monkeypatch, seed):
     """A start may have reached the new incarnation before the restart was noticed."""
     record_restart = ServerLives._record_restart
