--- a/buckthornshift/dispatch/_core.py
+++ b/buckthornshift/dispatch/_core.py
@@ -38,7 +38,7 @@
 from ._request_router import RequestRouter
 from ._runs import RunTracker
 from ._scheduler import TaskScheduler
-from ._server_lives import ServerLives
+from ._server_incarnations import ServerIncarnations
 from ._server_speeds import ServerSpeeds
 from ._settings import DispatchIdentity, DispatchSettings
 from ._shutdown import GracefulShutdown
@@ -190,13 +190,13 @@
             crash_history=self.crash_history,
             server_speeds=self.server_speeds,
         )
-        self.lives = ServerLives(
+        self.incarnations = ServerIncarnations(
             context=context,
             crash_history=self.crash_history,
             jobs=self.jobs,
             runs=self.runs,
         )
-        self.runs.lives = self.lives
+        self.runs.incarnations = self.incarnations
         self.list_publisher = ListPublisher(
             context=context,
             fleet=self.fleet,
@@ -218,10 +218,10 @@
             membership=self.membership,
             cells=self.cells,
             runs=self.runs,
-            lives=self.lives,
+            incarnations=self.incarnations,
             list_follower=self.list_follower,
         )
-        self.runs.lease_manager = self.lives.lease_manager = self.lease_manager
+        self.runs.lease_manager = self.incarnations.lease_manager = self.lease_manager
         self.load_shedder = LoadShedder(context=context, membership=self.membership)
         self.request_router = RequestRouter(
             context=context,
@@ -250,7 +250,7 @@
             self.evacuation_tracker,
             self.list_follower,
             self.lease_manager,
-            self.lives,
+            self.incarnations,
             self.list_publisher,
             self.crash_history,
             self.runs,
--- a/buckthornshift/dispatch/_leases.py
+++ b/buckthornshift/dispatch/_leases.py
@@ -35,7 +35,7 @@
     :param membership: the :class:`Membership`.
     :param cells: the :class:`Cells`.
     :param runs: the :class:`RunTracker`, which is notified of finished runs.
-    :param lives: the :class:`ServerLives`, which is notified of lost servers.
+    :param incarnations: the :class:`ServerIncarnations`, which is notified of lost servers.
     :param list_follower: the :class:`ListFollower`.
     """
 
@@ -46,7 +46,7 @@
         membership=None,
         cells=None,
         runs=None,
-        lives=None,
+        incarnations=None,
         list_follower=None,
     ):
         self.context = context
@@ -54,7 +54,7 @@
         self.membership = membership
         self.cells = cells
         self.runs = runs
-        self.lives = lives
+        self.incarnations = incarnations
         self.list_follower = list_follower
         self._has_yielding = False
         cells.list_yielding_ids = self.list_yielding_ids
@@ -271,10 +271,10 @@
             return
         if event.token != server.token:
             return
-        if self.lives.is_stale(server, event):
+        if self.incarnations.is_stale(server, event):
             self._handle_failed_renewal(server)
             return
-        self.lives.read_incarnation(server, event)
+        self.incarnations.read_incarnation(server, event)
         match event.verdict:
             case Verdict.DONE:
                 self._apply_response(server, event)
@@ -448,7 +448,7 @@
             and silent_ms > settings.rival_takeover_ms
         )
         if not server.is_reachable and is_lapsed and not server.is_idle:
-            self.lives.lose_all(server, "leases_expired")
+            self.incarnations.lose_all(server, "leases_expired")
         if server.ownership is Ownership.CLAIMING and not server.is_reachable:
             server.ownership = Ownership.NONE
         delay_ms = 0.0 if server.is_reachable else settings.retry_ms
@@ -461,15 +461,15 @@
         server.renewal_sent_ms = server.poll_sent_ms = None
         server.token = 0
         if server.awaits_listing:
-            self.lives.lose_former(server)
+            self.incarnations.lose_former(server)
         self.runs.leave_to_next_owner(server)
 
     def _drop_replaced(self, server):
         server.ownership = Ownership.NONE
         server.is_replaced = True
         server.is_reachable = False
-        self.lives.lose_all(server, "server_replaced")
-        self.lives.confirm_loss(server)
+        self.incarnations.lose_all(server, "server_replaced")
+        self.incarnations.confirm_loss(server)
         self._remove_if_gone(server)
 
     def _remove_if_gone(self, server):
@@ -482,7 +482,7 @@
         is_lost = unlisted_ms >= context.settings.unlisted_grace_ms
         if is_gone or (is_lost and not server.is_reachable):
             self.fleet.remove(server)
-            self.lives.confirm_loss(server)
+            self.incarnations.confirm_loss(server)
             self.runs.adoption.clear_lost(server.id)
             context.emit(DisconnectServer(server_id=server.id))
 
--- a/buckthornshift/dispatch/_runs.py
+++ b/buckthornshift/dispatch/_runs.py
@@ -53,7 +53,7 @@
         self.crash_history = crash_history
         self.server_speeds = server_speeds
         self.lease_manager = None
-        self.lives = None
+        self.incarnations = None
         self.start_timeout = AdaptiveTimeout(max_ms=context.settings.call_timeout_ms)
         self._open_runs_by_name = {}
         self._overdue_starts = []
@@ -256,7 +256,7 @@
         """
         context = self.context
         self.adoption.clear_left(server.id, event.sent_ms)
-        self.lives.resolve_runs(server, event)
+        self.incarnations.resolve_runs(server, event)
         listed_by_name = {running.task: running for running in event.running}
         for run in list(server.run_by_name.values()):
             running = listed_by_name.get(run.name)
@@ -264,7 +264,7 @@
                 self._update_progress(server, run, running)
             elif self._is_confirmed_ended(run, event):
                 context.log(LogCode.RUN_RESOLVED, run.name, server=server.id)
-                self.lives.record_barred(server, run)
+                self.incarnations.record_barred(server, run)
                 self.close_run(server, run)
                 self.requeue_task(run)
         for running in event.running:
--- a/buckthornshift/dispatch/_server_lives.py
+++ b/buckthornshift/dispatch/_server_incarnations.py
@@ -13,7 +13,7 @@
 LATE_START_MS = 10_000.0
 
 
-class ServerLives:
+class ServerIncarnations:
     """Notice that a server has restarted, and decide what happens to its runs.
 
     A restarted server runs nothing, has seen no fencing token and numbers its ended
--- a/tests/proving/fleet/test_fleet_mutations.py
+++ b/tests/proving/fleet/test_fleet_mutations.py
@@ -16,7 +16,7 @@
 from buckthornshift.dispatch._owner_jobs import OwnerJobs
 from buckthornshift.dispatch._request_router import RequestRouter
 from buckthornshift.dispatch._runs import RunTracker
-from buckthornshift.dispatch._server_lives import ServerLives
+from buckthornshift.dispatch._server_incarnations import ServerIncarnations
 from buckthornshift.proving.fleet import FleetFault, FleetRule, run_fleet_seed
 from buckthornshift.standins import TaskServerModel
 
@@ -201,7 +201,7 @@
 def forget_lost_runs(monkeypatch):
     """Start a task again however many servers have crashed under it."""
     monkeypatch.setattr(
-        ServerLives, "_record_losses", lambda self, server, runs, is_former: None
+        ServerIncarnations, "_record_losses", lambda self, server, runs, is_former: None
     )
 
 
--- a/tests/proving/fleet/test_restarted_servers.py
+++ b/tests/proving/fleet/test_restarted_servers.py
@@ -3,7 +3,7 @@
 import pytest
 
 from buckthornshift.dispatch._fleet import Server
-from buckthornshift.dispatch._server_lives import ServerLives
+from buckthornshift.dispatch._server_incarnations import ServerIncarnations
 from buckthornshift.proving.fleet import FleetFault, FleetRule, run_fleet_seed
 
 KINDS = [FleetFault.SERVER_RESTARTS, FleetFault.BURST]
@@ -32,13 +32,13 @@
 @pytest.mark.parametrize("seed", (36, 316))
 def test_losing_all_runs_at_a_restart_runs_a_task_twice(monkeypatch, seed):
     """A start may have reached the new incarnation before the restart was noticed."""
-    record_restart = ServerLives._record_restart
+    record_restart = ServerIncarnations._record_restart
 
     def lose_all_runs(self, server, source):
         record_restart(self, server, source)
         self.lose_all(server, "server_restarted")
 
-    monkeypatch.setattr(ServerLives, "_record_restart", lose_all_runs)
+    monkeypatch.setattr(ServerIncarnations, "_record_restart", lose_all_runs)
     result = run_fleet_seed(seed, kinds=KINDS, n_faults=4)
     assert result.violation is FleetRule.ONE_RUN
 
