--- a/buckthornshift/dispatch/__init__.py
+++ b/buckthornshift/dispatch/__init__.py
@@ -46,7 +46,6 @@
     TimeAdvanced,
     Verdict,
 )
-from ._fleet import Ownership
 from ._peer_messages import (
     PEER_MESSAGES,
     CellClaim,
@@ -61,6 +60,7 @@
     SubmitJob,
 )
 from ._placement_report import PlacementReporter, PlacementVerdict
+from ._server import Ownership
 from ._settings import DispatchIdentity, DispatchSettings
 
 __all__ = [
--- a/buckthornshift/dispatch/_leases.py
+++ b/buckthornshift/dispatch/_leases.py
@@ -3,7 +3,6 @@
 from ._actions import DisconnectServer, LogCode, RenewLease
 from ._election import TOKEN_RANDOM_BITS, make_token
 from ._events import RenewalAnswered, Verdict
-from ._fleet import Ownership
 from ._internal_messages import (
     AdoptionTimeout,
     ClaimEnded,
@@ -17,6 +16,7 @@
     ServersChanged,
 )
 from ._jobs import Run, RunPhase
+from ._server import Ownership
 
 UNLISTED_RETENTION_MS = 15_000.0
 # Delay before the finished runs of an idle server are acknowledged. It is well below
@@ -35,7 +35,8 @@
     :param membership: the :class:`Membership`.
     :param cells: the :class:`Cells`.
     :param runs: the :class:`RunTracker`, which is notified of finished runs.
-    :param incarnations: the :class:`ServerIncarnations`, which is notified of lost servers.
+    :param incarnations: the :class:`ServerIncarnations`, which is notified of lost
+        servers.
     :param list_follower: the :class:`ListFollower`.
     """
 
--- a/buckthornshift/dispatch/_placement_report.py
+++ b/buckthornshift/dispatch/_placement_report.py
@@ -12,10 +12,10 @@
 from ..timers import TimerQueue
 from ._actions import LogCode, LogLine
 from ._events import PeerMessageReceived
-from ._fleet import Ownership
 from ._internal_messages import SubmissionEnded
 from ._jobs import Run
 from ._peer_messages import EndReason, Outcome, SubmitJob
+from ._server import Ownership
 
 # The job is explained under this id, so that it is never taken for one that is known.
 EXPLAINED_ID = "explained"
--- a/buckthornshift/dispatch/_run_adoption.py
+++ b/buckthornshift/dispatch/_run_adoption.py
@@ -1,10 +1,10 @@
 """Runs that former owners of the servers started, and their adoption by their jobs."""
 
 from ._actions import LogCode
-from ._fleet import Ownership
 from ._internal_messages import ServersChanged
 from ._jobs import RunPhase, TaskPhase
 from ._peer_messages import RunLeft
+from ._server import Ownership
 
 
 class RunAdoption:
--- a/tests/dispatch/test_server_health.py
+++ b/tests/dispatch/test_server_health.py
@@ -7,8 +7,9 @@
 
 from buckthornshift.dispatch import DispatchSettings, Resources, ServerRecord
 from buckthornshift.dispatch._context import DispatchContext
-from buckthornshift.dispatch._fleet import Fleet, Ownership
+from buckthornshift.dispatch._fleet import Fleet
 from buckthornshift.dispatch._jobs import Run
+from buckthornshift.dispatch._server import Ownership
 
 
 def make_fleet(n_servers=6, n_zones=2):
--- a/tests/dispatch/test_server_incarnations.py
+++ b/tests/dispatch/test_server_incarnations.py
@@ -34,8 +34,8 @@
     SubmitJob,
     Verdict,
 )
-from buckthornshift.dispatch._fleet import Ownership
 from buckthornshift.dispatch._peer_messages import RunLeft, ServerLoss
+from buckthornshift.dispatch._server import Ownership
 
 QUEUE = Queue(name="q", service="s", stretch=2.0, target_ms=60.0, max_attempts=3)
 RECEIVER = "h:1"
--- a/tests/dispatch/test_server_speeds.py
+++ b/tests/dispatch/test_server_speeds.py
@@ -17,8 +17,9 @@
 from buckthornshift.dispatch._context import DispatchContext
 from buckthornshift.dispatch._declarations import JobSpec, Queue, StepSpec
 from buckthornshift.dispatch._duration_estimator import DurationEstimator
-from buckthornshift.dispatch._fleet import Fleet, Ownership
+from buckthornshift.dispatch._fleet import Fleet
 from buckthornshift.dispatch._jobs import Job, Run, Task
+from buckthornshift.dispatch._server import Ownership
 from buckthornshift.dispatch._server_speeds import ServerSpeeds, compute_path_from_ms
 from buckthornshift.load.fleet import FleetLoadPlan, FleetLoadSimulation, summarize
 from buckthornshift.load.fleet._sites import SITES_BY_NAME
--- a/tests/proving/fleet/test_fleet_mutations.py
+++ b/tests/proving/fleet/test_fleet_mutations.py
@@ -12,10 +12,11 @@
 )
 from buckthornshift.dispatch._core import DispatchCore
 from buckthornshift.dispatch._crash_history import CrashHistory
-from buckthornshift.dispatch._fleet import Fleet, Server
+from buckthornshift.dispatch._fleet import Fleet
 from buckthornshift.dispatch._owner_jobs import OwnerJobs
 from buckthornshift.dispatch._request_router import RequestRouter
 from buckthornshift.dispatch._runs import RunTracker
+from buckthornshift.dispatch._server import Server
 from buckthornshift.dispatch._server_incarnations import ServerIncarnations
 from buckthornshift.proving.fleet import FleetFault, FleetRule, run_fleet_seed
 from buckthornshift.standins import TaskServerModel
--- a/tests/proving/fleet/test_restarted_servers.py
+++ b/tests/proving/fleet/test_restarted_servers.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from buckthornshift.dispatch._fleet import Server
+from buckthornshift.dispatch._server import Server
 from buckthornshift.dispatch._server_incarnations import ServerIncarnations
 from buckthornshift.proving.fleet import FleetFault, FleetRule, run_fleet_seed
 
