MNT Whether a claim is complete is decided in a module of its own

Cause: _leases.py claimed servers, renewed leases and decided what a claim covers in 516 lines. Change: ClaimCoverage takes the last part; no behaviour changes.

--- a/buckthornshift/dispatch/_core.py
+++ b/buckthornshift/dispatch/_core.py
@@ -5,6 +5,7 @@
 from ._actions import LogCode
 from ._admission import AdmissionController, ObjectiveOrder
 from ._cells import Cells
+from ._claim_coverage import ClaimCoverage
 from ._context import DispatchContext
 from ._crash_history import CrashHistory
 from ._declarations import Configuration
@@ -212,6 +213,12 @@
             list_publisher=self.list_publisher,
             server_speeds=self.server_speeds,
         )
+        self.claim_coverage = ClaimCoverage(
+            context=context,
+            fleet=self.fleet,
+            cells=self.cells,
+            list_follower=self.list_follower,
+        )
         self.lease_manager = LeaseManager(
             context=context,
             fleet=self.fleet,
@@ -219,7 +226,7 @@
             cells=self.cells,
             runs=self.runs,
             incarnations=self.incarnations,
-            list_follower=self.list_follower,
+            claim_coverage=self.claim_coverage,
         )
         self.runs.lease_manager = self.incarnations.lease_manager = self.lease_manager
         self.load_shedder = LoadShedder(context=context, membership=self.membership)
--- a/buckthornshift/dispatch/_leases.py
+++ b/buckthornshift/dispatch/_leases.py
@@ -37,7 +37,7 @@
     :param runs: the :class:`RunTracker`, which is notified of finished runs.
     :param incarnations: the :class:`ServerIncarnations`, which is notified of lost
         servers.
-    :param list_follower: the :class:`ListFollower`.
+    :param claim_coverage: the :class:`ClaimCoverage`.
     """
 
     def __init__(
@@ -48,7 +48,7 @@
         cells=None,
         runs=None,
         incarnations=None,
-        list_follower=None,
+        claim_coverage=None,
     ):
         self.context = context
         self.fleet = fleet
@@ -56,7 +56,7 @@
         self.cells = cells
         self.runs = runs
         self.incarnations = incarnations
-        self.list_follower = list_follower
+        self.claim_coverage = claim_coverage
         self._has_yielding = False
         cells.list_yielding_ids = self.list_yielding_ids
 
@@ -128,7 +128,7 @@
         for server in message.servers:
             self._claim_server(server)
             # A rival may have claimed the server first and run tasks on it.
-            self._update_complete_term(server.cell)
+            self.claim_coverage.update(server.cell)
 
     def on_peer_lost(self, message):
         """Claim the servers that a lost instance still held."""
@@ -175,7 +175,7 @@
             if not server.is_idle or self._is_refresh_due(server):
                 self.renew_lease(server)
         for cell in self.cells.list_owned():
-            self._update_complete_term(cell)
+            self.claim_coverage.update(cell)
 
     def on_adoption_timeout(self, message):
         """Stop runs found when the server was claimed whose job was not submitted."""
@@ -246,7 +246,7 @@
         if server.is_held:
             self.renew_lease(server)
             # The new incarnation has seen no token, so it may accept that of a rival.
-            self._update_complete_term(server.cell)
+            self.claim_coverage.update(server.cell)
 
     def grant_lease(self, server):
         """Return when a new lease ends on the server's clock, and record its expiry."""
@@ -385,7 +385,7 @@
             self._release(server)
         elif not server.is_idle:
             self.renew_lease(server)
-        self._complete_claim_if_due(server.cell)
+        self.claim_coverage.update_if_incomplete(server.cell)
 
     def _record_response(self, server, clock_ms):
         context = self.context
@@ -454,7 +454,7 @@
             server.ownership = Ownership.NONE
         delay_ms = 0.0 if server.is_reachable else settings.retry_ms
         context.start_timer(max(1.0, delay_ms), ServerRetryDue(server_id=server.id))
-        self._complete_claim_if_due(server.cell)
+        self.claim_coverage.update_if_incomplete(server.cell)
 
     def _clear_ownership(self, server, ownership):
         """Drop the token of a server, and its runs without reporting their end."""
@@ -486,32 +486,3 @@
             self.incarnations.confirm_loss(server)
             self.runs.adoption.clear_lost(server.id)
             context.emit(DisconnectServer(server_id=server.id))
-
-    def _complete_claim_if_due(self, cell):
-        # A complete claim is checked again with housekeeping only, because each check
-        # visits every server of the cell.
-        if not self.cells.get(cell).complete_term:
-            self._update_complete_term(cell)
-
-    def _update_complete_term(self, cell):
-        election = self.cells.get(cell)
-        if election.is_owner:
-            election.set_complete_term(self._compute_complete_term(cell, election))
-
-    def _compute_complete_term(self, cell, election):
-        age_ms = self.context.now_ms - election.claimed_ms
-        all_lapsed_ms = self.context.settings.resubmit_after_ms
-        if self.list_follower.may_be_stale and age_ms < all_lapsed_ms:
-            # Tasks may run on a server that is missing from the list.
-            return 0
-        servers = [s for s in self.fleet.list_servers(cell) if self._counts(s)]
-        if not all(
-            s.ownership is Ownership.OWNED and not s.awaits_listing for s in servers
-        ):
-            return 0
-        return min((s.token >> TOKEN_RANDOM_BITS for s in servers), default=0)
-
-    def _counts(self, server):
-        """Return whether tasks may run on a server, so that a claim has to cover it."""
-        is_in_use = self.fleet.is_in_use(server) or server.is_held
-        return is_in_use and not server.is_replaced
--- a/buckthornshift/dispatch/_placement_report.py
+++ b/buckthornshift/dispatch/_placement_report.py
@@ -25,6 +25,7 @@
 # Attributes of the core that a submission only reads; all other components are copied.
 _SHARED_NAMES = {
     "cells",
+    "claim_coverage",
     "context",
     "crash_history",
     "fleet",
