MNT The store of a simulated run has a module of its own

FleetWorld held the instances, the backend servers and what operators and servers write to the platform's store. The store is now SimulatedStore, which the injector, the callers and the checks use directly.

--- a/buckthornshift/load/fleet/_site_callers.py
+++ b/buckthornshift/load/fleet/_site_callers.py
@@ -168,7 +168,7 @@
         self.on_outcome(arrival, outcome, reason, elapsed_ms, n_refusals)
 
     def _find_queue(self, arrival):
-        queues = self.world.configuration.queues
+        queues = self.world.store.configuration.queues
         return next(queue for queue in queues if queue.name == arrival.kind.name)
 
     def _choose_instance(self, arrival):
--- a/buckthornshift/proving/fleet/_callers.py
+++ b/buckthornshift/proving/fleet/_callers.py
@@ -102,7 +102,7 @@
     def _submit_new(self, is_final_batch):
         random_state = self.world.random_state
         kind = random_state.choices(JOB_KINDS, [k.weight for k in JOB_KINDS])[0]
-        queue = random_state.choice(self.world.configuration.queues)
+        queue = random_state.choice(self.world.store.configuration.queues)
         self._n_jobs += 1
         job_id = f"{self._n_jobs:016x}"
         mean_ms = kind.run_ms * random_state.uniform(0.6, 1.6)
--- a/buckthornshift/proving/fleet/_evacuation_watch.py
+++ b/buckthornshift/proving/fleet/_evacuation_watch.py
@@ -54,10 +54,10 @@
     def _can_know(self, instance):
         if not self._is_responsive(instance):
             return False
-        return self.world.can_read_store(instance) or any(
+        return self.world.store.can_read(instance) or any(
             other is not instance
             and self._is_responsive(other)
-            and self.world.can_read_store(other)
+            and self.world.store.can_read(other)
             and self.world.network.are_connected(instance, other)
             for other in self.world.instances
         )
--- a/buckthornshift/proving/fleet/_faults.py
+++ b/buckthornshift/proving/fleet/_faults.py
@@ -101,13 +101,13 @@
             case FleetFault.LINK_FULL:
                 self._add_for_duration(fault, network_faults.full_links, owner.name)
             case FleetFault.STORE_OUTAGE:
-                world.is_store_down = True
-                self._schedule_end(fault, setattr, world, "is_store_down", False)
+                world.store.is_down = True
+                self._schedule_end(fault, setattr, world.store, "is_down", False)
             case FleetFault.ENTRIES_LAPSE:
                 self._lapse_entries(fault)
             case FleetFault.STORE_PARTITION:
                 self._add_for_duration(
-                    fault, world.instances_without_store, instance.name
+                    fault, world.store.cut_off_instances, instance.name
                 )
             case FleetFault.COMMANDS_LATE:
                 network_faults.late_probability = LATE_PROBABILITY
@@ -131,12 +131,12 @@
                 self.callers.crash_probability = CRASH_PROBABILITY
                 self._schedule_end(fault, setattr, self.callers, "crash_probability", 0)
             case FleetFault.CONFIG_CHANGE:
-                world.change_configuration()
+                world.store.change_configuration()
             case FleetFault.EVACUATION:
                 # The last number is that of a zone without servers.
                 zone = f"zone-{fault.target % (world.plan.n_zones + 1)}"
-                world.evacuate(zone)
-                self._schedule_end(fault, world.evacuate, zone, False)
+                world.store.evacuate(zone)
+                self._schedule_end(fault, world.store.evacuate, zone, False)
             case FleetFault.CLOCK_STEP:
                 world.clock_step_ms_by_instance[instance.name] = -CLOCK_STEP_MS
                 self._schedule_end(
--- a/buckthornshift/proving/fleet/_world.py
+++ b/buckthornshift/proving/fleet/_world.py
@@ -6,12 +6,8 @@
 
 from ...dispatch import (
     AnswerCaller,
-    Configuration,
-    ConfigurationRead,
     DispatchCore,
     DispatchIdentity,
-    Evacuations,
-    EvacuationsRead,
     Exit,
     InstancesFound,
     LagProbeDue,
@@ -20,7 +16,6 @@
     Resources,
     SendToPeer,
     ServerRecord,
-    ServersRead,
     StartRun,
     StopRequested,
     StopRun,
@@ -34,11 +29,10 @@
 from ._network import FleetNetwork
 from ._oracle import FleetOracle
 from ._server_restarts import ServerRestarts
+from ._store import SimulatedStore
 
-STORE_POLL_INTERVAL_MS = 300.0
 PROBE_INTERVAL_MS = 50.0
 INCARNATION_BITS = 48
-STORE_DELAY_MS = 4.0
 RESTART_DELAY_MS = 400.0
 DRAIN_DURATION_MS = 3_000.0
 # Time from the start of a task that crashes its server to the crash.
@@ -47,7 +41,7 @@
 
 
 class FleetWorld:
-    """Simulate one run: the instances, the backend servers and the store.
+    """Simulate one run: the instances and the backend servers, with a store.
 
     Callers set the callbacks ``on_answer``, ``on_lost_request``, ``plan_run`` and
     ``crashes_server`` before :meth:`start`. Everything random comes from the seed of
@@ -73,13 +67,8 @@
         ]
         self.servers_by_id = {}
         self.restarts = ServerRestarts(world=self)
-        self.configuration = self._make_configuration(1)
-        self.evacuations = Evacuations()
-        # Offset of the next record of operators; the configuration is the first.
-        self._operators_offset = 1
-        self.is_store_down = False
+        self.store = SimulatedStore(world=self)
         self.last_outage_end_ms = 0.0
-        self.instances_without_store = set()
         self.clock_step_ms_by_instance = {}
         self.on_answer = None
         self.on_lost_request = None
@@ -229,8 +218,8 @@
         seeds = tuple(other.name for other in self.instances[:3])
         self.deliver(instance, instance.key, InstancesFound(addresses=seeds))
         if self.plan.lists_instances:
-            self._read_instance_list(instance, instance.key)
-        self._poll_store(instance, instance.key)
+            self.store.read_instances(instance, instance.key)
+        self.store.poll(instance, instance.key)
         if self.plan.event_ms:
             self._deliver_probe(instance, instance.key)
 
@@ -302,29 +291,6 @@
         """Return the :class:`~buckthornshift.dispatch.ServerRecord` of a server."""
         return self.servers_by_id[server_id].record
 
-    def change_configuration(self):
-        """Publish a new version of the configuration, as an operator does."""
-        self.configuration = self._make_configuration(self.configuration.version + 3)
-        self._operators_offset += 1
-
-    def evacuate(self, zone, is_on=True):
-        """Start or end the evacuation of a zone, as an operator does.
-
-        :param zone: name of the zone; no server needs to be there.
-        :param is_on: whether the zone is evacuated from now on.
-        """
-        self._operators_offset += 1
-        zones = set(self.evacuations.zones) - {zone} | ({zone} if is_on else set())
-        self.evacuations = Evacuations(
-            version=self._operators_offset, zones=tuple(sorted(zones))
-        )
-        self.evacuation_watch.record_change(zones)
-
-    def can_read_store(self, instance):
-        """Return whether an instance runs and can read the store."""
-        is_cut = instance.name in self.instances_without_store
-        return not (self.is_store_down or is_cut or instance.is_frozen)
-
     def schedule_server_events(self, server):
         """Schedule the time at which the next run on a server ends."""
         if server.model is None:
@@ -466,42 +432,6 @@
             self.deliver(instance, key, LagProbeDue(due_ms=self.clock.now_ms))
             self.clock.schedule(PROBE_INTERVAL_MS, self._deliver_probe, instance, key)
 
-    def _poll_store(self, instance, key):
-        if instance.core is None or instance.key != key:
-            return
-        if self.can_read_store(instance):
-            self._read_evacuations(instance, key)
-            event = ConfigurationRead(configuration=self.configuration)
-            self.clock.schedule(STORE_DELAY_MS, self.deliver, instance, key, event)
-            if instance.is_watching_servers or not instance.core.fleet.by_id:
-                event = ServersRead(servers=self._list_servers())
-                self.clock.schedule(STORE_DELAY_MS, self.deliver, instance, key, event)
-        self.clock.schedule(STORE_POLL_INTERVAL_MS, self._poll_store, instance, key)
-
-    def _read_evacuations(self, instance, key):
-        """Deliver the evacuations of the first read, and then only changes."""
-        version = self.evacuations.version
-        if instance.evacuation_version == 0:
-            version = self._operators_offset
-        if version <= instance.evacuation_version:
-            return
-        instance.evacuation_version = version
-        event = EvacuationsRead(version=version, zones=self.evacuations.zones)
-        self.clock.schedule(STORE_DELAY_MS, self.deliver, instance, key, event)
-
-    def _read_instance_list(self, instance, key):
-        if not self.can_read_store(instance):
-            self.clock.schedule(
-                STORE_POLL_INTERVAL_MS, self._read_instance_list, instance, key
-            )
-            return
-        addresses = tuple(other.name for other in self.instances)
-        event = InstancesFound(addresses=addresses, is_complete=True)
-        self.clock.schedule(STORE_DELAY_MS, self.deliver, instance, key, event)
-
-    def _list_servers(self):
-        return tuple(s.record for s in self.servers_by_id.values() if s.is_listed)
-
     def _deregister(self, server):
         server.is_listed = False
 
@@ -520,6 +450,3 @@
 
     def _get_zone(self, index):
         return f"zone-{index % self.plan.n_zones}"
-
-    def _make_configuration(self, version):
-        return Configuration(version=version, queues=self.plan.shape.queues)
--- a/tests/proving/fleet/test_operators_failures.py
+++ b/tests/proving/fleet/test_operators_failures.py
@@ -123,14 +123,14 @@
         FleetCallers(world=self.world).start()
         self.world.start()
         self.advance_time(2_000.0)
-        self.old_records = self.world._list_servers()
-        self.old_configuration = self.world.configuration
+        self.old_records = self.world.store.list_servers()
+        self.old_configuration = self.world.store.configuration
         self.gone = self.world.servers_by_id["s0"]
         self.world.kill_server(self.gone)
-        self.world.change_configuration()
+        self.world.store.change_configuration()
         self.advance_time(4_000.0)
         self.instance = self.world.find_owner()
-        self.world.instances_without_store.add(self.instance.name)
+        self.world.store.cut_off_instances.add(self.instance.name)
         self.world.kill_instance(self.instance)
         self.advance_time(450.0)
 
@@ -150,7 +150,7 @@
     fleet.read_old_records()
     fleet.advance_time(1_000.0)
     core = fleet.instance.core
-    assert core.context.configuration == fleet.world.configuration
+    assert core.context.configuration == fleet.world.store.configuration
     server = core.fleet.by_id.get(fleet.gone.name)
     assert server is None or not core.fleet.is_schedulable(server)
 
@@ -161,5 +161,5 @@
     fleet.read_old_records()
     fleet.advance_time(100.0)
     core = fleet.instance.core
-    assert core.context.configuration == fleet.world.configuration
+    assert core.context.configuration == fleet.world.store.configuration
     assert core.context.configuration != Configuration()
