--- a/buckthornshift/dispatch/_cells.py
+++ b/buckthornshift/dispatch/_cells.py
@@ -55,7 +55,7 @@
         self._oversized_since_ms = None
         self._surplus_since_ms = None
         membership.describe_claims = self.describe_claims
-        membership.is_owner = lambda: self.is_owner
+        membership.holds_servers = self.holds_servers
         membership.has_all_owners = self.has_all_owners
 
     def subscribe(self):
@@ -74,6 +74,10 @@
         """Whether this instance owns a cell, as far as it knows."""
         return any(election.is_owner for election in self.elections)
 
+    def holds_servers(self):
+        """Return whether this instance owns a cell, or runs of a former claim go on."""
+        return self.is_owner or bool(self.list_yielding_ids())
+
     def get(self, cell):
         """Return the :class:`Election` of a cell."""
         return self.elections[cell]
@@ -123,6 +127,17 @@
                     claims.append((key, peer, claim))
         return claims
 
+    def has_unheard_owner(self, cell):
+        """Return whether an instance in contact hears an owner that this one doesn't.
+
+        That instance has given the cell up to it, so a claim would be the third.
+        """
+        return any(
+            peer.heartbeat.n_cells == self.n_cells
+            and cell in peer.heartbeat.yielded_cells
+            for peer in self.membership.list_live()
+        )
+
     def find_cell_with_capacity(self, cell, can_run, need_cpu=None):
         """Return another cell, the one with the most free CPU, or ``None``.
 
@@ -155,6 +170,7 @@
             "list_digest": self.fleet.digest(),
             "is_eligible": self.is_eligible(),
             "held_ids": tuple(self.list_yielding_ids()),
+            "yielded_cells": tuple(e.cell for e in self.elections if e.has_yielded),
         }
 
     def has_successor(self):
--- a/buckthornshift/dispatch/_election.py
+++ b/buckthornshift/dispatch/_election.py
@@ -48,6 +48,7 @@
         self.complete_term = 0
         self.claimed_ms = 0.0
         self.is_raised = False
+        self.has_yielded = False
         self._highest_term = 0
         self._ownerless_since_ms = None
 
@@ -86,6 +87,7 @@
             _, peer, claim = claims[0]
             self._set_owner(peer.address, claim.term, claim.complete_term)
             return
+        self.has_yielded = False
         self._set_owner(None, 0, 0)
         self._claim_if_due()
 
@@ -149,6 +151,8 @@
         waited_ms = self.compute_ownerless_ms()
         if not is_settled or waited_ms < context.settings.election_wait_ms:
             return
+        if self.cells.has_unheard_owner(self.cell):
+            return
         if self.cells.is_eligible() and self.cells.is_next_claimant(self.cell):
             self._begin_claim()
 
@@ -158,7 +162,7 @@
         self.term = max(self._highest_term + 1, clock_term, 1)
         self._highest_term = self.term
         self.claimed_ms = context.now_ms
-        self.is_raised = False
+        self.is_raised = self.has_yielded = False
         self.complete_term = 0
         self._ownerless_since_ms = None
         context.counters.n_claims += 1
@@ -182,6 +186,7 @@
             higher_term=claim.term,
         )
         self._end_claim()
+        self.has_yielded = True
 
     def _end_claim(self):
         self.term = 0
--- a/buckthornshift/dispatch/_fleet.py
+++ b/buckthornshift/dispatch/_fleet.py
@@ -263,9 +263,12 @@
         )
 
     def count_owned(self, cell=None):
-        """Return how many servers this instance owns, in one cell or in all."""
+        """Return how many servers this instance owns, in one cell or in all.
+
+        Those that it can't reach don't count: a rival may have taken them.
+        """
         servers = self.by_id.values() if cell is None else self.list_servers(cell)
-        return sum(s.ownership is Ownership.OWNED for s in servers)
+        return sum(s.ownership is Ownership.OWNED and s.is_reachable for s in servers)
 
     def can_ever_run(self, service, step, cell):
         """Return whether some server of a cell is large enough for a step's tasks.
--- a/buckthornshift/dispatch/_leases.py
+++ b/buckthornshift/dispatch/_leases.py
@@ -22,6 +22,8 @@
 # Delay before the finished runs of an idle server are acknowledged. It is well below
 # the platform's limit for acknowledgements, and lets one request cover several runs.
 IDLE_ACK_DELAY_MS = 500.0
+# Responses to a request without a token, which show that the server can be reached.
+PROBE_ANSWERS = (Verdict.DONE, Verdict.FENCED)
 
 
 class LeaseManager:
@@ -109,6 +111,7 @@
                 self._has_yielding = True
             elif server.ownership is not Ownership.YIELDING:
                 self._clear_ownership(server, Ownership.NONE)
+                server.is_reachable = True
         self.membership.broadcast_heartbeat()
 
     def _hand_over(self, cell):
@@ -159,7 +162,9 @@
             return
         match server.ownership:
             case Ownership.FENCED:
-                self._reclaim_fenced(server)
+                # A retry from before the refusal may be due earlier.
+                if self.context.now_ms >= server.claim_after_ms:
+                    self._reclaim_fenced(server)
             case Ownership.NONE:
                 self._claim_server(server)
             case _:
@@ -275,6 +280,9 @@
         if self.incarnations.is_stale(server, event):
             self._handle_failed_renewal(server)
             return
+        if server.ownership is Ownership.NONE and event.verdict in PROBE_ANSWERS:
+            self._handle_probe_answer(server)
+            return
         self.incarnations.read_incarnation(server, event)
         match event.verdict:
             case Verdict.DONE:
@@ -286,6 +294,15 @@
             case _:
                 self._handle_failed_renewal(server)
 
+    def _handle_probe_answer(self, server):
+        """Let a server that can be reached again be claimed after a while.
+
+        Instances on its side of a partition are heard by then, so that the larger side
+        keeps its servers.
+        """
+        self._record_response(server, None)
+        server.claim_after_ms = self.context.now_ms + self.context.settings.regain_ms
+
     def mark_fenced(self, server):
         """Give up a server that refused the token, as another instance owns it."""
         context = self.context
@@ -305,8 +322,10 @@
         settings = context.settings
         delay_ms = settings.election_wait_ms + settings.beat_ms / 2
         if not is_new_claim:
-            delay_ms = settings.lost_after_ms
+            has_lost = self.membership.has_lost_instances()
+            delay_ms = settings.regain_ms if has_lost else settings.lost_after_ms
         self._clear_ownership(server, Ownership.FENCED)
+        server.claim_after_ms = context.now_ms + delay_ms
         election.set_complete_term(0)
         context.start_timer(delay_ms, ServerRetryDue(server_id=server.id))
 
@@ -339,8 +358,15 @@
             return
         if not self.fleet.is_in_use(server):
             return
-        if self._is_held_elsewhere(server):
+        if self._is_held_elsewhere(server) or server.renewal_sent_ms is not None:
             return
+        if self.membership.has_lost_instances():
+            if not server.is_reachable:
+                # Its token is 0 here, which no server accepts that has an owner.
+                self.renew_lease(server)
+                return
+            if self.context.now_ms < server.claim_after_ms:
+                return
         server.ownership = Ownership.CLAIMING
         server.token = make_token(election.term, self.context.random_state)
         self.renew_lease(server)
@@ -452,6 +478,7 @@
             self.incarnations.lose_all(server, "leases_expired")
         if server.ownership is Ownership.CLAIMING and not server.is_reachable:
             server.ownership = Ownership.NONE
+            server.token = 0
         delay_ms = 0.0 if server.is_reachable else settings.retry_ms
         context.start_timer(max(1.0, delay_ms), ServerRetryDue(server_id=server.id))
         self.claim_coverage.update_if_incomplete(server.cell)
--- a/buckthornshift/dispatch/_membership.py
+++ b/buckthornshift/dispatch/_membership.py
@@ -110,7 +110,7 @@
         self.by_address = {}
         self.has_instance_list = False
         self.describe_claims = lambda: {}
-        self.is_owner = lambda: False
+        self.holds_servers = lambda: False
         self.has_all_owners = lambda: False
         self.get_lag_ms = lambda: 0.0
         self.get_evacuation_version = lambda: 0
@@ -132,6 +132,13 @@
         """Return the instances in contact."""
         return [peer for peer in self.by_address.values() if peer.is_live]
 
+    def has_lost_instances(self):
+        """Return whether an instance that was in contact may still be running."""
+        return any(
+            not peer.is_live and peer.confirmed_sent_ms is not None
+            for peer in self.by_address.values()
+        )
+
     def is_live(self, address, incarnation=None):
         """Return whether an instance is in contact, or is this one.
 
@@ -334,7 +341,8 @@
 
     def _choose_heartbeat_interval(self, peer):
         settings = self.context.settings
-        if self.is_owner() or peer.heartbeat.claims or not peer.is_live:
+        holds_servers = self.holds_servers() or peer.heartbeat.holds_servers
+        if holds_servers or not peer.is_live:
             return settings.beat_ms
         if self._hubs is None:
             is_idle = self._all_cells_owned
@@ -350,7 +358,7 @@
 
     def _choose_loss_timeout(self, peer):
         settings = self.context.settings
-        if peer.heartbeat.claims or self.is_owner():
+        if self.holds_servers() or peer.heartbeat.holds_servers:
             return settings.lost_after_ms
         if self._hubs is not None and self._count_hubs(peer) < 2:
             n_peers = len(self.by_address)
--- a/buckthornshift/dispatch/_peer_messages.py
+++ b/buckthornshift/dispatch/_peer_messages.py
@@ -52,6 +52,8 @@
     :param is_leaving: whether it is stopping.
     :param lag_ms: delay until it reads what has arrived at it.
     :param held_ids: servers with runs of a claim that it gave up.
+    :param yielded_cells: cells that it gave up to a higher claim of an instance that it
+        is in contact with.
     :param addresses: instances in contact with it that were not sent before.
     :param evacuation_version: version of its :class:`Evacuations`.
     """
@@ -72,10 +74,16 @@
     is_leaving: bool = False
     lag_ms: float = 0.0
     held_ids: tuple[str, ...] = ()
+    yielded_cells: tuple[int, ...] = ()
     addresses: tuple[str, ...] = ()
     evacuation_version: int = 0
     wire_name: ClassVar[str] = "Beat"
 
+    @property
+    def holds_servers(self):
+        """Whether the sender may have runs of the addressee's jobs on its servers."""
+        return bool(self.claims or self.held_ids)
+
 
 @attrs.frozen(kw_only=True)
 class RunLeft:
--- a/buckthornshift/dispatch/_server.py
+++ b/buckthornshift/dispatch/_server.py
@@ -58,6 +58,8 @@
         response was read.
     :param last_response_ms: when the server last responded.
     :param is_reachable: whether it responds.
+    :param claim_after_ms: when it may be claimed at the earliest, after it refused the
+        token or could not be reached.
     :param unlisted_since_ms: when its entry vanished from the list, or ``None``.
     :param is_replaced: whether another server answers at its address, so that it is
         gone; its entry may be listed for some seconds more.
@@ -97,6 +99,7 @@
     newest_response_sent_ms: float = -1.0
     last_response_ms: float = 0.0
     is_reachable: bool = True
+    claim_after_ms: float = 0.0
     unlisted_since_ms: float | None = None
     is_replaced: bool = False
     is_evacuated: bool = False
--- a/buckthornshift/dispatch/_settings.py
+++ b/buckthornshift/dispatch/_settings.py
@@ -68,6 +68,9 @@
     :param retry_ms: delay before a request that got no response is repeated.
     :param silent_after_ms: time without a response after which a server counts as
         unreachable.
+    :param regain_ms: time after which a server is claimed that could be reached again,
+        or that refused the token, while instances are out of contact. Those that can be
+        reached are heard by then: twice ``redial_after_ms``, and a heartbeat.
     :param adopt_ms: time for which runs found at a takeover wait for their job to be
         resubmitted.
     :param ended_kept_ms: time for which the outcomes of jobs are kept to answer
@@ -116,6 +119,7 @@
     call_timeout_ms: float = 250.0
     retry_ms: float = 100.0
     silent_after_ms: float = 500.0
+    regain_ms: float = 700.0
     adopt_ms: float = 200.0
     ended_kept_ms: float = 3_000.0
     unlisted_grace_ms: float = 2_500.0
