ENH Servers accept the first claim after a loss of all instances

Cause: terms were seconds, and each refusal added 16.

Change: terms are 1/64 s (36 of 53 bits), a refusal adds 1/8 s, and 16 times as much for each raised claim in a row that is refused at once. The time of day is the one at the start of the process plus the time since, and the median of the instances that have just started. Tokens keep their magnitude, so that versions can be mixed. Weighed: a doubling raise alone (up to 14 refusals for a jump of 2,400 s), terms told by peers (no peer knows any after a loss of all). The simulations' time of day is now after the epoch of the terms, so that they take terms from the clock as well.

--- a/buckthornshift/dispatch/_claim_coverage.py
+++ b/buckthornshift/dispatch/_claim_coverage.py
@@ -1,6 +1,6 @@
 """Whether a claim of a cell covers every server on which tasks may run."""
 
-from ._election import TOKEN_RANDOM_BITS
+from ._election import get_term
 from ._server import Ownership
 
 
@@ -53,7 +53,7 @@
             s.ownership is Ownership.OWNED and not s.awaits_listing for s in servers
         ):
             return 0
-        return min((s.token >> TOKEN_RANDOM_BITS for s in servers), default=0)
+        return min((get_term(s.token) for s in servers), default=0)
 
     def _may_run_tasks(self, server):
         is_in_use = self.fleet.is_in_use(server) or server.is_held
--- a/buckthornshift/dispatch/_context.py
+++ b/buckthornshift/dispatch/_context.py
@@ -60,6 +60,7 @@
         self.now_ms = 0.0
         self.wall_ms = 0.0
         self.started_ms = 0.0
+        self.started_wall_ms = 0.0
         self.is_stopping = False
         self.configuration = Configuration()
         self.counters = Counters()
--- a/buckthornshift/dispatch/_core.py
+++ b/buckthornshift/dispatch/_core.py
@@ -81,6 +81,7 @@
         context = self.context
         self._set_time(now_ms, wall_ms)
         context.started_ms = now_ms
+        context.started_wall_ms = wall_ms
         context.log(
             LogCode.STARTED, context.identity.address, **_describe_identity(context)
         )
--- a/buckthornshift/dispatch/_election.py
+++ b/buckthornshift/dispatch/_election.py
@@ -5,21 +5,29 @@
 other raise their tokens, but break no guarantee.
 """
 
+import statistics
+
 from ._actions import LogCode
 from ._internal_messages import ClaimEnded, ClaimStarted, OwnerChanged
 
-# Terms are seconds since 2025-01-01 UTC, which keeps tokens within 53 bits.
-TERM_EPOCH_S = 1_735_689_600
-TOKEN_RANDOM_BITS = 23
-# Added to the term when a server refused it although no higher claim is known.
-REFUSED_TERM_INCREMENT = 16
+# Terms count since 2025-01-01 UTC; 36 bits of them last for 34 years.
+TERM_EPOCH_MS = 1_735_689_600_000
+TERMS_PER_S = 64
+TOKEN_RANDOM_BITS = 17
+# Added to the term when a server refused it although no higher claim is known: less
+# than the time until the next claim, so that terms don't run ahead of the clock.
+REFUSED_TERM_INCREMENT = TERMS_PER_S // 8
+# Factor on it for each claim in a row that a server refuses at once, which remembers a
+# term of an instance whose clock was ahead; and the largest increment, an hour.
+REFUSED_TERM_FACTOR = 16
+MAX_TERM_INCREMENT = 3_600 * TERMS_PER_S
 
 
 def make_token(term, random_state):
     """Return a fencing token that is practically unique to this claim.
 
-    Two claims of the same term get equal random bits once in eight million times.
-    Tokens stay exact as JSON numbers (53 bits).
+    Two claims of the same term get equal random bits once in 131,000 times. Tokens stay
+    exact as JSON numbers (53 bits).
 
     :param term: term of the claim.
     :param random_state: a :class:`random.Random`.
@@ -27,6 +35,11 @@
     return (term << TOKEN_RANDOM_BITS) | random_state.getrandbits(TOKEN_RANDOM_BITS)
 
 
+def get_term(token):
+    """Return the term of the claim that a fencing token belongs to."""
+    return token >> TOKEN_RANDOM_BITS
+
+
 class Election:
     """Track the owner of a cell; claim it if it has none, yield to a higher claim.
 
@@ -50,6 +63,8 @@
         self.is_raised = False
         self.has_yielded = False
         self._highest_term = 0
+        self._n_refused_raises = 0
+        self._last_refused_term = 0
         self._ownerless_since_ms = None
 
     @property
@@ -98,11 +113,21 @@
 
     def raise_term(self):
         """Claim again with a higher term, after a server refused the current one."""
-        self._highest_term = max(self._highest_term, self.term) + REFUSED_TERM_INCREMENT
+        increment = min(
+            REFUSED_TERM_INCREMENT * REFUSED_TERM_FACTOR**self._n_refused_raises,
+            MAX_TERM_INCREMENT,
+        )
+        self._highest_term = max(self._highest_term, self.term) + increment
         self.term = 0
         self._begin_claim()
         self.is_raised = True
 
+    def record_refused_claim(self):
+        """Record that a server refused this claim at once, also if it was raised."""
+        if self.is_raised and self._last_refused_term != self.term:
+            self._last_refused_term = self.term
+            self._n_refused_raises += 1
+
     def set_complete_term(self, term):
         """Record which tokens are in force; announce that a claim is complete.
 
@@ -115,6 +140,7 @@
         becomes_complete = term > 0 and self.complete_term == 0
         self.complete_term = term
         if becomes_complete:
+            self._n_refused_raises = 0
             self.membership.broadcast_heartbeat()
             self.update_ownership()
 
@@ -158,8 +184,7 @@
 
     def _begin_claim(self):
         context = self.context
-        clock_term = int(context.wall_ms / 1000.0) - TERM_EPOCH_S
-        self.term = max(self._highest_term + 1, clock_term, 1)
+        self.term = max(self._highest_term + 1, self._compute_clock_term(), 1)
         self._highest_term = self.term
         self.claimed_ms = context.now_ms
         self.is_raised = self.has_yielded = False
@@ -177,6 +202,23 @@
         self._set_owner(context.identity.address, self.term, 0)
         self.membership.broadcast_heartbeat()
 
+    def _compute_clock_term(self):
+        """Return the term of the current time of day.
+
+        It is the time of day at the start of the process and the time since then, so
+        that later jumps of the clock have no effect. One that was wrong at the start is
+        outvoted by those of other instances that have just started.
+        """
+        context = self.context
+        now_ms = context.now_ms
+        wall_ms = [context.started_wall_ms + now_ms - context.started_ms]
+        for peer in self.membership.list_live():
+            uptime_ms = peer.get_uptime_ms(now_ms)
+            if peer.heartbeat.born_ms and uptime_ms < float("inf"):
+                wall_ms.append(peer.heartbeat.born_ms + uptime_ms)
+        median_ms = statistics.median_high(wall_ms)
+        return int((median_ms - TERM_EPOCH_MS) * TERMS_PER_S / 1_000.0)
+
     def _yield_to_higher(self, peer, claim):
         self.context.log(
             LogCode.OWNER_YIELDED,
--- a/buckthornshift/dispatch/_leases.py
+++ b/buckthornshift/dispatch/_leases.py
@@ -1,7 +1,7 @@
 """Claim backend servers, renew their leases, read finished runs, release servers."""
 
 from ._actions import DisconnectServer, LogCode, RenewLease
-from ._election import TOKEN_RANDOM_BITS, make_token
+from ._election import get_term, make_token
 from ._events import RenewalAnswered, Verdict
 from ._internal_messages import (
     AdoptionTimeout,
@@ -312,13 +312,15 @@
             token=server.token,
             term=self.cells.get(server.cell).term,
         )
-        server.refused_term = server.token >> TOKEN_RANDOM_BITS
+        server.refused_term = get_term(server.token)
         election = self.cells.get(server.cell)
         # A server that refuses a new claim remembers the term of a former owner, which
         # may be above the time of day, or that of an instance that claims at the same
         # time, which is heard soon. If it refuses again, or had accepted the claim,
         # there is a rival out of contact.
         is_new_claim = server.ownership is Ownership.CLAIMING and not election.is_raised
+        if server.ownership is Ownership.CLAIMING:
+            election.record_refused_claim()
         settings = context.settings
         delay_ms = settings.election_wait_ms + settings.beat_ms / 2
         if not is_new_claim:
--- a/buckthornshift/proving/_clock.py
+++ b/buckthornshift/proving/_clock.py
@@ -3,7 +3,8 @@
 import heapq
 import itertools
 
-START_WALL_MS = 1_700_000_000_000.0
+# After the epoch of the terms, so that claims take their term from the clock.
+START_WALL_MS = 1_800_000_000_000.0
 
 
 class VirtualClock:
--- a/tests/dispatch/test_total_loss.py
+++ b/tests/dispatch/test_total_loss.py
@@ -95,26 +95,37 @@
 
     :param n_instances: number of instances.
     :param seed: seed of the run and of the times of the restarts.
+    :param clock_step_ms: error of the clocks of a third of the instances from the
+        restart on.
     """
 
-    def __init__(self, n_instances, seed):
+    def __init__(self, n_instances, seed, clock_step_ms=0.0):
         plan = FleetPlan(
             seed=seed, n_zones=3, n_instances=n_instances, n_servers=2 * n_instances
         )
         self.world = FleetWorld(plan=plan, settings=DispatchSettings())
         self.claims = []
+        self.n_refused = 0
         self.world.start()
         self.world.clock.run_until(3_000.0)
+        self.set_back()
         self.world.on_log = self.record_log
         random_state = random.Random(seed)
+        for instance in self.world.instances[: n_instances // 3]:
+            self.world.clock_step_ms_by_instance[instance.name] = clock_step_ms
         self.return_ms = self.world.clock.now_ms + RESTART_MS + MAX_RESTART_SPREAD_MS
         for instance in self.world.instances:
             spread_ms = random_state.uniform(0.0, MAX_RESTART_SPREAD_MS)
             self.world.kill_instance(instance, restart_ms=RESTART_MS + spread_ms)
 
     def record_log(self, instance, action):
-        if getattr(action, "code", None) is LogCode.OWNER_CLAIMED:
+        code = getattr(action, "code", None)
+        if code is LogCode.OWNER_CLAIMED:
             self.claims.append(instance.name)
+        self.n_refused += code is LogCode.SERVER_FENCED
+
+    def set_back(self):
+        """Do what happens to the fleet before the restart."""
 
     def find_claimed_ms(self):
         """Return when an owner has claimed every server, after the last return."""
@@ -149,3 +160,42 @@
     world.clock.run_until(world.clock.now_ms + 3_000.0)
     assert fleet.claims == []
     assert world.find_owner() is owner
+
+
+class RestartAfterPartitions(RestartedFleet):
+    """A fleet whose zones were cut off from each other some times before."""
+
+    def set_back(self):
+        world = self.world
+        for zone in ("zone-0", "zone-1", "zone-0"):
+            world.network.faults.isolated_zones.add(zone)
+            world.clock.run_until(world.clock.now_ms + 1_500.0)
+            world.network.faults.isolated_zones.clear()
+            world.clock.run_until(world.clock.now_ms + 700.0)
+
+
+# Both signs: back, so that servers refuse the claim; ahead, so that they refuse later
+# claims of other instances.
+@pytest.mark.parametrize("clock_step_ms", [0.0, -2_400.0, 2_400.0, 2_400_000.0])
+@pytest.mark.parametrize("seed", range(4))
+def test_servers_accept_the_first_claim_after_partitions(seed, clock_step_ms):
+    """They remembered terms of the partitions, above the time of day."""
+    fleet = RestartAfterPartitions(6, seed, clock_step_ms)
+    assert fleet.find_claimed_ms() <= MAX_CLAIM_MS
+    assert len(fleet.claims) == 1
+    assert fleet.n_refused == 0
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_servers_are_claimed_although_most_clocks_were_ahead(seed):
+    """The servers remember terms of the time of day an hour ahead."""
+    fleet = RestartedFleet(6, seed, clock_step_ms=3_600_000.0)
+    world = fleet.world
+    for instance in world.instances:
+        world.clock_step_ms_by_instance[instance.name] = 3_600_000.0
+    fleet.find_claimed_ms()
+    world.clock_step_ms_by_instance.clear()
+    for instance in world.instances:
+        world.kill_instance(instance)
+    fleet.return_ms = world.clock.now_ms + RESTART_MS
+    assert fleet.find_claimed_ms() <= 4.0 * MAX_CLAIM_MS
