FIX A claim is complete only over the servers that the lost owner claimed

Change: a claim carries a checksum of the servers on which tasks may run. A receiving instance compares it with the last one of each owner that may have started the job, and waits for the leases if they differ.

--- a/buckthornshift/dispatch/_cells.py
+++ b/buckthornshift/dispatch/_cells.py
@@ -127,6 +127,18 @@
                     claims.append((key, peer, claim))
         return claims
 
+    def find_servers_digest(self, address, cell):
+        """Return the checksum of the servers that an instance last claimed.
+
+        :param address: address of the instance.
+        :param cell: number of the cell.
+        :returns: the checksum, or ``None`` if that instance isn't known.
+        """
+        if address == self.context.identity.address:
+            return self.fleet.compute_cell_digest(cell)
+        peer = self.membership.by_address.get(address)
+        return None if peer is None else peer.find_servers_digest(self.n_cells, cell)
+
     def has_unheard_owner(self, cell):
         """Return whether an instance in contact hears an owner that this one doesn't.
 
@@ -370,6 +382,7 @@
             term=election.term,
             n_owned=self.fleet.count_owned(election.cell),
             complete_term=election.complete_term,
+            servers_digest=self.fleet.compute_cell_digest(election.cell),
             free_cpu=self._compute_free_cpu(election.cell) if self.n_cells > 1 else 0,
         )
 
--- a/buckthornshift/dispatch/_fleet.py
+++ b/buckthornshift/dispatch/_fleet.py
@@ -121,6 +121,17 @@
             if server.unlisted_since_ms is None
         ) % (2**HASH_BITS)
 
+    def compute_cell_digest(self, cell):
+        """Return a checksum of the servers of a cell on which tasks may run.
+
+        :param cell: number of the cell.
+        """
+        return sum(
+            server.hash
+            for server in self.list_servers(cell)
+            if server.unlisted_since_ms is None or not server.is_idle
+        ) % (2**HASH_BITS)
+
     def is_schedulable(self, server):
         """Return whether a server may get a new task, if its resources suffice."""
         return (
@@ -133,6 +144,7 @@
             # A start would extend the lease of the run that is being stopped.
             and not server.has_unacked_stop
             and server.has_current_record
+            and self.context.now_ms >= server.usable_after_ms
             and self._is_listed(server)
         )
 
--- a/buckthornshift/dispatch/_leases.py
+++ b/buckthornshift/dispatch/_leases.py
@@ -127,8 +127,15 @@
             self.runs.leave_behind(server)
 
     def on_servers_added(self, message):
-        """Claim servers that are new on the list."""
+        """Claim servers that are new on the list.
+
+        They get no tasks before every instance in contact has heard a claim that names
+        them: it compares that with the claim of the next owner.
+        """
+        usable_after_ms = self.context.now_ms + self.context.settings.lost_after_ms
         for server in message.servers:
+            if self.cells.is_owner_of(server.cell):
+                server.usable_after_ms = usable_after_ms
             self._claim_server(server)
             # A rival may have claimed the server first and run tasks on it.
             self.claim_coverage.update(server.cell)
--- a/buckthornshift/dispatch/_membership.py
+++ b/buckthornshift/dispatch/_membership.py
@@ -63,6 +63,8 @@
     :param introduced_ms: when the first heartbeat with the constant fields was sent to
         its process, or ``None``.
     :param sent_contact_number: highest contact number of the addresses sent to it.
+    :param servers_digest_by_cell: checksum of the servers in its last claim of a cell,
+        by number of cells and cell.
     """
 
     address: str = ""
@@ -82,6 +84,15 @@
     contact_number: int = 0
     introduced_ms: float | None = None
     sent_contact_number: int = 0
+    servers_digest_by_cell: dict = attrs.field(factory=dict)
+
+    def find_servers_digest(self, n_cells, cell):
+        """Return the checksum of its last claim of a cell, or ``None``.
+
+        :param n_cells: number of cells.
+        :param cell: number of the cell.
+        """
+        return self.servers_digest_by_cell.get((n_cells, cell))
 
     def get_uptime_ms(self, now_ms):
         """Return the time since its process started; infinite once it is long.
@@ -239,6 +250,7 @@
             self._dial(peer)
         peer.incarnation = event.incarnation
         peer.heartbeat = Heartbeat()
+        peer.servers_digest_by_cell.clear()
         peer.confirmed_sent_ms = peer.introduced_ms = None
 
     def _read_heartbeat(self, peer, heartbeat):
@@ -249,6 +261,9 @@
             heartbeat = _add_constant_fields(heartbeat, peer.heartbeat)
         former_cells = {claim.cell for claim in peer.heartbeat.claims}
         peer.heartbeat = heartbeat
+        for claim in heartbeat.claims:
+            key = (heartbeat.n_cells, claim.cell)
+            peer.servers_digest_by_cell[key] = claim.servers_digest
         for cell in former_cells - {claim.cell for claim in heartbeat.claims}:
             context.post(RivalClaimEnded(cell=cell))
         peer.last_heard_ms = context.now_ms
--- a/buckthornshift/dispatch/_peer_messages.py
+++ b/buckthornshift/dispatch/_peer_messages.py
@@ -22,6 +22,7 @@
     :param complete_term: lowest term of the tokens that the servers of the cell have
         accepted from the sender; 0 unless each of them has accepted one.
     :param free_cpu: free CPU minus that of waiting tasks, in thousandths of a core.
+    :param servers_digest: checksum of the servers of the cell on which tasks may run.
     """
 
     cell: int = 0
@@ -29,6 +30,7 @@
     n_owned: int = 0
     complete_term: int = 0
     free_cpu: int = 0
+    servers_digest: int = 0
 
 
 @attrs.frozen(kw_only=True)
--- a/buckthornshift/dispatch/_request_router.py
+++ b/buckthornshift/dispatch/_request_router.py
@@ -41,6 +41,7 @@
         over a new connection doesn't count.
     :param may_have_run: whether an owner received the job and may have started it.
     :param former_term: highest known term of the owners that may have started it.
+    :param former_digests: checksums of the servers that those owners claimed last.
     :param former_process: address and incarnation of the owner that may have started
         it; ``None`` if there was none, or more than one.
     :param is_handed_over: whether the last owner handed the job over.
@@ -67,6 +68,7 @@
     attempt: int = 0
     may_have_run: bool = False
     former_term: int = 0
+    former_digests: set = attrs.field(factory=set)
     former_process: tuple | None = None
     is_handed_over: bool = False
     finished_tasks: tuple = ()
@@ -340,12 +342,17 @@
         """Return whether an owner knows every run of a job that is left.
 
         That is the owner itself that started them, or one whose tokens all servers of
-        the cell have accepted after those of every former owner of the job.
+        the cell have accepted after those of every former owner of the job. It must
+        claim the same servers: one that was added may be missing in its list.
         """
         if not complete_term or request.may_run_in_former_cell:
             return False
         process = (address, self._find_incarnation(address))
-        return process == request.former_process or complete_term > request.former_term
+        if process == request.former_process:
+            return True
+        digest = self.cells.find_servers_digest(address, request.cell)
+        claims_same_servers = request.former_digests <= {digest}
+        return claims_same_servers and complete_term > request.former_term
 
     def _record_hand_over(self, request, ended):
         """Record what the next owner must know of a job that was handed over."""
@@ -376,6 +383,9 @@
         is_same = is_first or request.former_process == process
         request.former_process = process if is_same else None
         request.former_term = max(request.former_term, term, *terms)
+        request.former_digests.add(
+            self.cells.find_servers_digest(address, request.cell)
+        )
         request.may_have_run = True
 
     def _lose_owner(self, request):
--- a/buckthornshift/dispatch/_server.py
+++ b/buckthornshift/dispatch/_server.py
@@ -60,6 +60,8 @@
     :param is_reachable: whether it responds.
     :param claim_after_ms: when it may be claimed at the earliest, after it refused the
         token or could not be reached.
+    :param usable_after_ms: when it may get tasks at the earliest, after it was listed
+        during a claim.
     :param unlisted_since_ms: when its entry vanished from the list, or ``None``.
     :param is_replaced: whether another server answers at its address, so that it is
         gone; its entry may be listed for some seconds more.
@@ -100,6 +102,7 @@
     last_response_ms: float = 0.0
     is_reachable: bool = True
     claim_after_ms: float = 0.0
+    usable_after_ms: float = 0.0
     unlisted_since_ms: float | None = None
     is_replaced: bool = False
     is_evacuated: bool = False
--- a/tests/dispatch/test_request_router.py
+++ b/tests/dispatch/test_request_router.py
@@ -57,13 +57,25 @@
     def receive(self, message, address=OWNER):
         self.feed(PeerMessageReceived(address=address, incarnation=2, message=message))
 
-    def advance_time(self, ms, address=OWNER, n_cells=1, n_owned=1, complete_term=None):
+    def advance_time(
+        self,
+        ms,
+        address=OWNER,
+        n_cells=1,
+        n_owned=1,
+        complete_term=None,
+        servers_digest=0,
+    ):
         """Advance time while an owner of all cells sends heartbeats."""
         term = TERM_BY_ADDRESS[address]
         complete_term = term if complete_term is None else complete_term
         claims = tuple(
             CellClaim(
-                cell=cell, term=term, n_owned=n_owned, complete_term=complete_term
+                cell=cell,
+                term=term,
+                n_owned=n_owned,
+                complete_term=complete_term,
+                servers_digest=servers_digest,
             )
             for cell in range(n_cells)
         )
@@ -112,6 +124,21 @@
     )
 
 
+@pytest.mark.parametrize(("servers_digest", "is_early"), [(7, True), (8, False)])
+def test_next_owner_gets_a_job_at_once_only_if_it_claims_the_same_servers(
+    receiver, servers_digest, is_early
+):
+    """The former owner may have started it on a server that the next one lacks."""
+    receiver.advance_time(100.0, servers_digest=7)
+    receiver.submit()
+    receiver.pop_submissions()
+    receiver.advance_time(600.0, address=SUCCESSOR, servers_digest=servers_digest)
+    n_early = len(receiver.pop_submissions())
+    receiver.advance_time(1_000.0, address=SUCCESSOR, servers_digest=servers_digest)
+    n_late = len(receiver.pop_submissions())
+    assert (n_early, n_late) == ((1, 0) if is_early else (0, 1))
+
+
 def test_job_returned_for_lack_of_contact_is_resubmitted(receiver):
     receiver.submit()
     (first,) = receiver.pop_submissions()
--- a/tests/proving/fleet/test_fleet_seeds.py
+++ b/tests/proving/fleet/test_fleet_seeds.py
@@ -5,6 +5,8 @@
 import attrs
 import pytest
 
+from buckthornshift.dispatch._cells import Cells
+from buckthornshift.dispatch._leases import LeaseManager
 from buckthornshift.dispatch._request_router import RequestRouter
 from buckthornshift.proving.fleet import (
     FleetFault,
@@ -90,6 +92,26 @@
     assert result.violation is None, result.detail
 
 
+def test_complete_claim_covers_a_server_added_during_a_partition():
+    result = run_fleet_seed(92)
+    assert result.violation is None, result.detail
+
+
+def test_trusting_a_claim_of_other_servers_runs_a_task_twice(monkeypatch):
+    """Mutation: the servers that the former owner claimed are not compared.
+
+    A new server gets tasks before the instances in contact have heard of it.
+    """
+
+    def claim_and_use(self, message):
+        for server in message.servers:
+            self._claim_server(server)
+
+    monkeypatch.setattr(LeaseManager, "on_servers_added", claim_and_use)
+    monkeypatch.setattr(Cells, "find_servers_digest", lambda self, address, cell: None)
+    assert run_fleet_seed(92).violation is FleetRule.ONE_RUN
+
+
 @pytest.mark.parametrize("seed", (32, 49))
 def test_trusting_any_complete_claim_runs_a_task_twice(monkeypatch, seed):
     monkeypatch.setattr(
