FIX A repeated submission names the runs that a stopped owner left

The receiving instance submits it to the next owner at 30.950 s, over a connection that is replaced: on_peer_connected recorded the next owner as a former one, which forgot the runs left, so the repeated submission named none.

Change: a repeat over a new connection names the same runs left. If the next owner returns the job, they no longer count, as before.

--- a/buckthornshift/dispatch/_request_router.py
+++ b/buckthornshift/dispatch/_request_router.py
@@ -189,11 +189,14 @@
         """Repeat submissions that may have been lost with the former connection.
 
         They count as possibly run: the owner may have started the job, lost contact
-        with this instance and forgotten the job.
+        with this instance and forgotten the job. Runs that a former owner handed over
+        may go on as well.
         """
         for request in self.by_key.values():
             if request.owner is not None and request.owner[0] == event.address:
+                runs_left = request.runs_left
                 self._record_former_owner(request, request.owner)
+                request.runs_left = runs_left
                 self._submit(request)
 
     def on_received(self, event):
--- a/tests/dispatch/test_request_router.py
+++ b/tests/dispatch/test_request_router.py
@@ -19,6 +19,7 @@
     LogCode,
     LogLine,
     Outcome,
+    PeerConnected,
     PeerMessageReceived,
     Queue,
     Resources,
@@ -27,6 +28,7 @@
     SubmitJob,
     TimeAdvanced,
 )
+from buckthornshift.dispatch._peer_messages import RunLeft
 
 OWNER = "o:1"
 SUCCESSOR = "p:1"
@@ -124,6 +126,29 @@
     )
 
 
+def test_submission_repeated_over_a_new_connection_names_the_runs_left(receiver):
+    """The next owner started tasks that the stopped one had left running."""
+    receiver.submit()
+    (first,) = receiver.pop_submissions()
+    left = RunLeft(task=f"{'0' * 16}.0.0.0", server_id="s0")
+    ended = JobEnded(
+        key=first.key,
+        attempt=first.attempt,
+        outcome=Outcome.RETURNED,
+        reason=EndReason.HANDED_OVER,
+        may_have_run=True,
+        runs_left=(left,),
+    )
+    receiver.receive(ended)
+    receiver.advance_time(150.0, address=SUCCESSOR, n_owned=2, complete_term=0)
+    (second,) = receiver.pop_submissions()
+    assert second.runs_left == (left,)
+    receiver.feed(PeerConnected(address=SUCCESSOR))
+    (repeated,) = receiver.pop_submissions()
+    assert repeated.attempt == second.attempt
+    assert repeated.runs_left == (left,)
+
+
 @pytest.mark.parametrize(("servers_digest", "is_early"), [(7, True), (8, False)])
 def test_next_owner_gets_a_job_at_once_only_if_it_claims_the_same_servers(
     receiver, servers_digest, is_early
