FIX A crashing task stays given up; a job leaves a cell without servers

Servers that failed meanwhile made two of the losses count as a common failure. A task stays given up while its losses are known.

--- a/buckthornshift/dispatch/_crash_history.py
+++ b/buckthornshift/dispatch/_crash_history.py
@@ -63,6 +63,7 @@
         self.cells = cells
         self._loss_by_key = {}
         self._keys_by_task = {}
+        self._given_up_tasks = set()
 
     def subscribe(self):
         """Return handlers by message class."""
@@ -152,11 +153,17 @@
         return self._count_crashes(task) > 0 or self.is_given_up(task)
 
     def is_given_up(self, task):
-        """Return whether a task must not be started again."""
+        """Return whether a task must not be started again.
+
+        Later failures of other servers don't change that: they would make the same
+        losses look like a common one.
+        """
         keys = self._keys_by_task.get(task, ())
         if len(keys) < MAX_CRASHES:
             return False
-        return len(keys) >= MAX_LOSSES or self._count_crashes(task) >= MAX_CRASHES
+        if len(keys) >= MAX_LOSSES or self._count_crashes(task) >= MAX_CRASHES:
+            self._given_up_tasks.add(task)
+        return task in self._given_up_tasks
 
     def has_failed(self, task):
         """Return whether a task was given up, and no run of it can have completed."""
@@ -219,6 +226,7 @@
         return loss
 
     def _remove(self, task, key):
+        self._given_up_tasks.discard(task)
         keys = self._keys_by_task.get(task, set())
         keys.discard(key)
         if not keys:
--- a/buckthornshift/dispatch/_owner_jobs.py
+++ b/buckthornshift/dispatch/_owner_jobs.py
@@ -3,6 +3,7 @@
 import attrs
 
 from ._actions import LogCode, SendToPeer
+from ._admission import JobRefusal
 from ._events import PeerMessageReceived
 from ._internal_messages import (
     ClaimEnded,
@@ -256,6 +257,11 @@
             self._redirect(job, submission, self._redirect_by_id[job.job_id][1])
             return
         refusal = self.admission.check(job, self.list_open(job.cell))
+        if refusal is None and not message.is_passed_on:
+            other_cell = self._find_cell_with_servers(job)
+            if other_cell is not None:
+                self._redirect(job, submission, other_cell)
+                return
         if refusal is None:
             self._accept(job, message)
             return
@@ -267,6 +273,19 @@
         else:
             self._redirect(job, submission, other_cell)
 
+    def _find_cell_with_servers(self, job):
+        """Return another cell if no server for a job is left in its own, or ``None``.
+
+        Those that were lost count as large enough for it until their entries expire.
+        """
+        if self.cells.n_cells == 1 or job.is_resent:
+            return None
+        need_cpu = max(1, max(step.need.cpu for step in job.spec.steps))
+        service = job.queue.service
+        if self.fleet.count_cell_slots(service, need_cpu, job.cell):
+            return None
+        return self._find_other_cell(job, JobRefusal())
+
     def _find_other_cell(self, job, refusal):
         """Return another cell that may accept a refused job, or ``None``."""
         steps = job.spec.steps
--- a/tests/proving/fleet/test_cells_runs.py
+++ b/tests/proving/fleet/test_cells_runs.py
@@ -28,6 +28,19 @@
     assert result.violation is None, result.detail
 
 
+# Regression seeds of all kinds of faults.
+MIXED_REGRESSION_SEEDS = {
+    5030: "an owner that had yielded kept a job that was resubmitted elsewhere",
+    5034: "a job waited in a cell whose only servers were lost but still listed",
+}
+
+
+@pytest.mark.parametrize("seed", MIXED_REGRESSION_SEEDS)
+def test_regression_seed_of_all_kinds(seed):
+    result = run_cells_seed(seed)
+    assert result.violation is None, result.detail
+
+
 @pytest.mark.parametrize("seed", REGRESSION_SEEDS)
 def test_regression_seed(seed):
     result = run_cells_seed(seed, kinds=FORMER_KINDS)
--- a/tests/proving/fleet/test_fleet_seeds.py
+++ b/tests/proving/fleet/test_fleet_seeds.py
@@ -92,6 +92,12 @@
     assert result.violation is None, result.detail
 
 
+def test_task_that_crashes_servers_stays_given_up():
+    """Other servers that failed later made its losses look like a common failure."""
+    result = run_fleet_seed(5172)
+    assert result.violation is None, result.detail
+
+
 def test_complete_claim_covers_a_server_added_during_a_partition():
     result = run_fleet_seed(92)
     assert result.violation is None, result.detail
