FEA Jobs that can't meet their objective are served late instead of being refused

Every 100 ms it refuses waiting jobs that are not expected to start before they give up; a job that has begun is not overtaken. Off, all decisions are as before (test_objective_order_decides_as_before).

--- a/buckthornshift/dispatch/_admission.py
+++ b/buckthornshift/dispatch/_admission.py
@@ -23,11 +23,14 @@
     :param reason: the :class:`EndReason`.
     :param detail: inputs of the decision, for the log.
     :param retry_after_ms: time after which a retry may succeed.
+    :param may_be_late: whether the job is accepted nevertheless if no other cell has
+        room for it.
     """
 
     reason: EndReason = EndReason.OVERLOADED
     detail: str = ""
     retry_after_ms: float = 0.0
+    may_be_late: bool = False
 
 
 class AdmissionController:
@@ -42,15 +45,22 @@
     :param fleet: the :class:`Fleet`.
     :param duration_estimator: the :class:`DurationEstimator`.
     :param job_order: the :class:`ObjectiveOrder` or :class:`CostOrder`.
+    :param late_service: the :class:`LateService`.
     """
 
     def __init__(
-        self, context=None, fleet=None, duration_estimator=None, job_order=None
+        self,
+        context=None,
+        fleet=None,
+        duration_estimator=None,
+        job_order=None,
+        late_service=None,
     ):
         self.context = context
         self.fleet = fleet
         self.duration_estimator = duration_estimator
         self.job_order = job_order
+        self.late_service = late_service
         self._remaining_by_service_cell = {}
 
     def check(self, job, open_jobs):
@@ -83,7 +93,9 @@
         # The error of the estimate is about the constant part of the objective.
         slack_ms = max(job.queue.target_ms, job.latest_start_ms - context.now_ms)
         if wait_ms > slack_ms:
-            self.job_order.record_loss(job)
+            may_be_late = self.late_service.can_end_late(job, wait_ms)
+            if not may_be_late:
+                self.job_order.record_loss(job)
             retry_after_ms = self.job_order.spread_retry_ms(
                 job, min(wait_ms, self._bound_wait_ms(job, open_jobs))
             )
@@ -91,6 +103,7 @@
                 reason=EndReason.OVERLOADED,
                 detail=f"expected wait {wait_ms:.0f} ms, slack {slack_ms:.0f} ms",
                 retry_after_ms=max(context.settings.min_retry_after_ms, retry_after_ms),
+                may_be_late=may_be_late,
             )
         return None
 
@@ -182,6 +195,9 @@
 class ObjectiveOrder:
     """Order jobs by their latency objective and priority.
 
+    Where jobs are served late on purpose, one that has begun is not overtaken by those
+    that can meet their objective: its work so far would be lost at its deadline.
+
     :param context: the shared :class:`DispatchContext`.
     """
 
@@ -196,7 +212,9 @@
 
     def make_sort_key(self, job):
         """Return the key by which jobs are sorted to start."""
-        return make_objective_sort_key(job, self.context.now_ms)
+        context = self.context
+        is_protected = job.may_have_run and context.settings.max_lateness > 1.0
+        return make_objective_sort_key(job, context.now_ms, is_protected)
 
     def spread_retry_ms(self, job, retry_after_ms):
         """Return the time after which a refused caller should retry, unchanged."""
--- a/buckthornshift/dispatch/_core.py
+++ b/buckthornshift/dispatch/_core.py
@@ -27,6 +27,7 @@
     RunReleased,
     ServersChanged,
 )
+from ._late_service import LateService
 from ._leases import LeaseManager
 from ._list_follower import ListFollower
 from ._list_publisher import ListPublisher
@@ -157,11 +158,13 @@
         )
         self.queue_shares = QueueShares(context=context)
         self.job_order = self._make_job_order()
+        self.late_service = LateService(context=context)
         self.admission = AdmissionController(
             context=context,
             fleet=self.fleet,
             duration_estimator=self.duration_estimator,
             job_order=self.job_order,
+            late_service=self.late_service,
         )
         self.jobs = OwnerJobs(
             context=context,
@@ -245,6 +248,8 @@
             cells=self.cells,
             server_speeds=self.server_speeds,
             job_order=self.job_order,
+            late_service=self.late_service,
+            admission=self.admission,
         )
         self.cells.count_waiting_cpu = self.scheduler.count_waiting_cpu
         self.shutdown = GracefulShutdown(
--- a/buckthornshift/dispatch/_overload_cost.py
+++ b/buckthornshift/dispatch/_overload_cost.py
@@ -92,7 +92,7 @@
         return min_ms + fraction * max(min_ms, retry_after_ms)
 
 
-def make_objective_sort_key(job, now_ms):
+def make_objective_sort_key(job, now_ms, is_protected=False):
     """Return the key by which jobs are sorted to start, by their objective.
 
     Jobs that can still meet their latency objective come first, then those with the
@@ -100,8 +100,9 @@
 
     :param job: the :class:`Job`.
     :param now_ms: the current time.
+    :param is_protected: whether the job stays among the first ones though it is late.
     """
-    is_late = now_ms > job.latest_start_ms
+    is_late = now_ms > job.latest_start_ms and not is_protected
     return (is_late, job.queue.priority, job.latest_start_ms)
 
 
--- a/buckthornshift/dispatch/_owner_jobs.py
+++ b/buckthornshift/dispatch/_owner_jobs.py
@@ -268,10 +268,12 @@
         other_cell = (
             None if message.is_passed_on else self._find_other_cell(job, refusal)
         )
-        if other_cell is None:
-            self._refuse(job, refusal)
-        else:
+        if other_cell is not None:
             self._redirect(job, submission, other_cell)
+        elif refusal.may_be_late:
+            self._accept(job, message)
+        else:
+            self._refuse(job, refusal)
 
     def _find_cell_with_servers(self, job):
         """Return another cell if no server for a job is left in its own, or ``None``.
--- a/buckthornshift/dispatch/_scheduler.py
+++ b/buckthornshift/dispatch/_scheduler.py
@@ -1,18 +1,16 @@
 """Scheduling: which waiting task starts next, and on which server."""
 
+import collections
 import math
 
+from ._late_service import MIN_RUN_FRACTION
 from ._peer_messages import EndReason
 
-# Shortest duration assumed for a job, as a fraction of the expected one; 95% of jobs
-# take longer.
-MIN_RUN_FRACTION = 0.5
+# Interval at which the expected waits of all waiting jobs are checked.
+QUEUE_CHECK_INTERVAL_MS = 100.0
 # A server whose slowness exceeds the mean by this factor is used last. Kinds of servers
 # differ by less than half, so that a healthy server stays below it.
 SLOW_FACTOR = 2.0
-# How long a job that has not begun still waits after it missed its objective, as a
-# fraction of the time until it could no longer end by its deadline.
-LATE_WAIT_FRACTION = 0.25
 
 
 class TaskScheduler:
@@ -25,6 +23,8 @@
     :param cells: the :class:`Cells`.
     :param server_speeds: the :class:`ServerSpeeds`.
     :param job_order: the :class:`ObjectiveOrder` or :class:`CostOrder`.
+    :param late_service: the :class:`LateService`.
+    :param admission: the :class:`AdmissionController`.
     """
 
     def __init__(
@@ -36,6 +36,8 @@
         cells=None,
         server_speeds=None,
         job_order=None,
+        late_service=None,
+        admission=None,
     ):
         self.context = context
         self.fleet = fleet
@@ -44,7 +46,10 @@
         self.cells = cells
         self.server_speeds = server_speeds
         self.job_order = job_order
+        self.late_service = late_service
+        self.admission = admission
         self.is_pass_requested = False
+        self._next_check_ms_by_cell = {}
 
     def request_pass(self, message):
         """Request a scheduling pass once the current messages are handled."""
@@ -104,6 +109,34 @@
             if self._has_waited_too_long(job):
                 self._end_overloaded(job)
         self._start_suspects(jobs, candidates_by_service)
+        if self.late_service.is_on:
+            self._refuse_hopeless(jobs, cell)
+
+    def _refuse_hopeless(self, jobs, cell):
+        """Refuse the waiting jobs that are not expected to start before they give up.
+
+        Servers may have been lost since they were accepted.
+
+        :param jobs: the jobs of a cell, in the order in which they start.
+        :param cell: number of the cell.
+        """
+        now_ms = self.context.now_ms
+        if now_ms < self._next_check_ms_by_cell.get(cell, 0.0):
+            return
+        self._next_check_ms_by_cell[cell] = now_ms + QUEUE_CHECK_INTERVAL_MS
+        n_ahead_by_service = collections.Counter()
+        for job in jobs:
+            if job.is_ended or not job.waiting_by_name:
+                continue
+            service = job.queue.service
+            n_ahead = n_ahead_by_service[service]
+            if n_ahead and not job.may_have_run:
+                n_half = (len(job.waiting_by_name) + 1) // 2
+                wait_ms = self.admission.estimate_wait_ms(job, n_ahead + n_half)
+                if now_ms + wait_ms > self.late_service.compute_wait_end_ms(job):
+                    self._end_overloaded(job, wait_ms)
+                    continue
+            n_ahead_by_service[service] += len(job.waiting_by_name)
 
     def _find_candidates(self, jobs, cell):
         """Return the candidate servers in a cell, by service that jobs wait for."""
@@ -126,9 +159,10 @@
             )
         return candidates_by_service
 
-    def _end_overloaded(self, job):
-        min_ms = self.context.settings.min_retry_after_ms
-        retry_after_ms = self.job_order.spread_retry_ms(job, min_ms)
+    def _end_overloaded(self, job, wait_ms=0.0):
+        retry_after_ms = self.job_order.spread_retry_ms(
+            job, max(wait_ms, self.context.settings.min_retry_after_ms)
+        )
         self.jobs.end_early(job, EndReason.OVERLOADED, retry_after_ms)
 
     def _cannot_meet_deadline(self, job):
@@ -138,12 +172,7 @@
 
     def _has_waited_too_long(self, job):
         """Return whether a job missed its objective and still could not start."""
-        last_start_ms = job.deadline_ms - MIN_RUN_FRACTION * job.critical_path_ms
-        # For a job that could not meet its objective even on arrival, the wait is
-        # counted from its arrival.
-        objective_missed_ms = max(job.latest_start_ms, job.arrived_ms)
-        max_wait_ms = max(0.0, last_start_ms - objective_missed_ms)
-        wait_end_ms = objective_missed_ms + LATE_WAIT_FRACTION * max_wait_ms
+        wait_end_ms = self.late_service.compute_wait_end_ms(job)
         return not job.may_have_run and self.context.now_ms > wait_end_ms
 
     def _is_suspect(self, task):
--- a/buckthornshift/dispatch/_settings.py
+++ b/buckthornshift/dispatch/_settings.py
@@ -87,6 +87,8 @@
     :param stop_max_ms: longest time from the stop request to the exit; the platform
         kills the process after 6 s.
     :param min_retry_after_ms: shortest retry-after time sent to a refused caller.
+    :param max_lateness: multiple of its latency objective up to which the answer to a
+        job is of use to its caller; 1 to refuse every job that would be late.
     :param overload_order: which jobs start first when there is not enough capacity:
         "objective" for those that can meet their objective, by priority, or "cost" for
         those whose loss costs callers most for the work that they need.
@@ -129,6 +131,7 @@
     stop_min_ms: float = 3_000.0
     stop_max_ms: float = 5_500.0
     min_retry_after_ms: float = 200.0
+    max_lateness: float = 1.0
     overload_order: str = attrs.field(
         default="objective", validator=attrs.validators.in_(OVERLOAD_ORDERS)
     )
