FIX In the order by cost no job that has begun fails in a backlog

Cause: a job of the queue standard began, and its last task waited behind more urgent ones until two critical paths before its deadline. It then waited for a slot for one run and took longer than expected.

Change: three critical paths.

--- a/buckthornshift/dispatch/_overload_cost.py
+++ b/buckthornshift/dispatch/_overload_cost.py
@@ -21,8 +21,11 @@
 SIZE_CLASS_LIMITS = (1.1, 1.9)
 
 
-# Time before its caller's deadline in which a job that has begun comes first, beyond
-# twice its critical path.
+# Time before its caller's deadline in which a job that has begun comes first, in
+# critical paths: a slot is free after one run, and a task may take twice as long as
+# expected.
+BEGUN_MARGIN_PATHS = 3.0
+# Added to it, for messages and scheduling passes.
 BEGUN_MARGIN_MS = 100.0
 
 
@@ -129,7 +132,7 @@
 
 def _must_finish_now(job, now_ms):
     """Return whether a job has begun and its caller leaves soon."""
-    margin_ms = 2.0 * job.critical_path_ms + BEGUN_MARGIN_MS
+    margin_ms = BEGUN_MARGIN_PATHS * job.critical_path_ms + BEGUN_MARGIN_MS
     return job.may_have_run and now_ms > job.deadline_ms - margin_ms
 
 
