MNT Which servers are claimed, and when, has a module of its own

ServerClaims decides on claims, requests without a token and the time after a refusal; LeaseManager renews leases and reads responses.

--- a/buckthornshift/dispatch/_core.py
+++ b/buckthornshift/dispatch/_core.py
@@ -40,6 +40,7 @@
 from ._request_router import RequestRouter
 from ._runs import RunTracker
 from ._scheduler import TaskScheduler
+from ._server_claims import ServerClaims
 from ._server_incarnations import ServerIncarnations
 from ._server_speeds import ServerSpeeds
 from ._settings import DispatchIdentity, DispatchSettings
@@ -223,11 +224,18 @@
             cells=self.cells,
             list_follower=self.list_follower,
         )
+        self.server_claims = ServerClaims(
+            context=context,
+            fleet=self.fleet,
+            membership=self.membership,
+            cells=self.cells,
+        )
         self.lease_manager = LeaseManager(
             context=context,
             fleet=self.fleet,
             membership=self.membership,
             cells=self.cells,
+            claims=self.server_claims,
             runs=self.runs,
             incarnations=self.incarnations,
             claim_coverage=self.claim_coverage,
--- a/buckthornshift/dispatch/_leases.py
+++ b/buckthornshift/dispatch/_leases.py
@@ -1,7 +1,7 @@
-"""Claim backend servers, renew their leases, read finished runs, release servers."""
+"""Renew the leases of backend servers, read finished runs, release servers."""
 
 from ._actions import DisconnectServer, LogCode, RenewLease
-from ._election import get_term, make_token
+from ._election import get_term
 from ._events import RenewalAnswered, Verdict
 from ._internal_messages import (
     AdoptionTimeout,
@@ -27,7 +27,7 @@
 
 
 class LeaseManager:
-    """Claim the servers of owned cells, renew their leases and release them.
+    """Renew the leases of the servers of owned cells, and release the servers.
 
     A server accepts commands only with the highest fencing token that it has seen. Its
     runs are ended when their lease is not renewed in time.
@@ -36,6 +36,7 @@
     :param fleet: the :class:`Fleet`.
     :param membership: the :class:`Membership`.
     :param cells: the :class:`Cells`.
+    :param claims: the :class:`ServerClaims`.
     :param runs: the :class:`RunTracker`, which is notified of finished runs.
     :param incarnations: the :class:`ServerIncarnations`, which is notified of lost
         servers.
@@ -48,6 +49,7 @@
         fleet=None,
         membership=None,
         cells=None,
+        claims=None,
         runs=None,
         incarnations=None,
         claim_coverage=None,
@@ -56,11 +58,13 @@
         self.fleet = fleet
         self.membership = membership
         self.cells = cells
+        self.claims = claims
         self.runs = runs
         self.incarnations = incarnations
         self.claim_coverage = claim_coverage
         self._has_yielding = False
         cells.list_yielding_ids = self.list_yielding_ids
+        claims.renew_lease = self.renew_lease
 
     def subscribe(self):
         """Return handlers by message class."""
@@ -95,7 +99,7 @@
             if server.ownership is Ownership.NONE and server.is_reachable:
                 # A server that was not called has not been silent.
                 server.last_response_ms = self.context.now_ms
-            self._claim_server(server)
+            self.claims.claim(server)
 
     def on_claim_ended(self, message):
         """Release idle servers at once, and busy ones when their runs have ended.
@@ -136,13 +140,13 @@
         for server in message.servers:
             if self.cells.is_owner_of(server.cell):
                 server.usable_after_ms = usable_after_ms
-            self._claim_server(server)
+            self.claims.claim(server)
             # A rival may have claimed the server first and run tasks on it.
             self.claim_coverage.update(server.cell)
 
     def on_peer_lost(self, message):
         """Claim the servers that a lost instance still held."""
-        self._claim_unowned()
+        self.claims.claim_unowned()
 
     def on_rival_claim_ended(self, message):
         """Claim the servers again that the rival had taken.
@@ -154,13 +158,13 @@
             return
         for server in list(self.fleet.list_servers(message.cell)):
             if server.ownership is Ownership.FENCED and server.renewal_sent_ms is None:
-                self._reclaim_fenced(server)
+                self.claims.reclaim_fenced(server)
             elif server.ownership is Ownership.OWNED:
                 self.poll_now(server)
 
     def on_heartbeat_due(self, message):
         """Claim servers that another instance has released since the last heartbeat."""
-        self._claim_unowned()
+        self.claims.claim_unowned()
 
     def on_retry_due(self, message):
         """Retry a server that refused the fencing token or did not respond."""
@@ -171,9 +175,9 @@
             case Ownership.FENCED:
                 # A retry from before the refusal may be due earlier.
                 if self.context.now_ms >= server.claim_after_ms:
-                    self._reclaim_fenced(server)
+                    self.claims.reclaim_fenced(server)
             case Ownership.NONE:
-                self._claim_server(server)
+                self.claims.claim(server)
             case _:
                 self.renew_lease(server)
 
@@ -288,7 +292,8 @@
             self._handle_failed_renewal(server)
             return
         if server.ownership is Ownership.NONE and event.verdict in PROBE_ANSWERS:
-            self._handle_probe_answer(server)
+            self._record_response(server, None)
+            self.claims.postpone_regained(server)
             return
         self.incarnations.read_incarnation(server, event)
         match event.verdict:
@@ -301,15 +306,6 @@
             case _:
                 self._handle_failed_renewal(server)
 
-    def _handle_probe_answer(self, server):
-        """Let a server that can be reached again be claimed after a while.
-
-        Instances on its side of a partition are heard by then, so that the larger side
-        keeps its servers.
-        """
-        self._record_response(server, None)
-        server.claim_after_ms = self.context.now_ms + self.context.settings.regain_ms
-
     def mark_fenced(self, server):
         """Give up a server that refused the token, as another instance owns it."""
         context = self.context
@@ -320,22 +316,9 @@
             term=self.cells.get(server.cell).term,
         )
         server.refused_term = get_term(server.token)
-        election = self.cells.get(server.cell)
-        # A server that refuses a new claim remembers the term of a former owner, which
-        # may be above the time of day, or that of an instance that claims at the same
-        # time, which is heard soon. If it refuses again, or had accepted the claim,
-        # there is a rival out of contact.
-        is_new_claim = server.ownership is Ownership.CLAIMING and not election.is_raised
-        if server.ownership is Ownership.CLAIMING:
-            election.record_refused_claim()
-        settings = context.settings
-        delay_ms = settings.election_wait_ms + settings.beat_ms / 2
-        if not is_new_claim:
-            has_lost = self.membership.has_lost_instances()
-            delay_ms = settings.regain_ms if has_lost else settings.lost_after_ms
+        delay_ms = self.claims.postpone_fenced(server)
         self._clear_ownership(server, Ownership.FENCED)
-        server.claim_after_ms = context.now_ms + delay_ms
-        election.set_complete_term(0)
+        self.cells.get(server.cell).set_complete_term(0)
         context.start_timer(delay_ms, ServerRetryDue(server_id=server.id))
 
     def _is_refresh_due(self, server):
@@ -345,63 +328,6 @@
         is_stale = age_ms > self.context.settings.clock_refresh_ms / 2
         return is_stale or (has_unsent_ack and age_ms > IDLE_ACK_DELAY_MS)
 
-    def _claim_unowned(self):
-        for cell in self.cells.list_owned():
-            for server in self.fleet.list_servers(cell):
-                if (
-                    server.ownership is Ownership.NONE
-                    and server.renewal_sent_ms is None
-                ):
-                    self._claim_server(server)
-
-    def _claim_server(self, server):
-        # An unlisted server is claimed as well, because tasks may still run on it.
-        election = self.cells.get(server.cell)
-        if not election.is_owner:
-            return
-        if server.ownership is Ownership.YIELDING:
-            # The runs of this instance's earlier claim continue under its token.
-            server.ownership = Ownership.OWNED
-            return
-        if server.ownership is not Ownership.NONE or server.is_replaced:
-            return
-        if not self.fleet.is_in_use(server):
-            return
-        if self._is_held_elsewhere(server) or server.renewal_sent_ms is not None:
-            return
-        if self.membership.has_lost_instances():
-            if not server.is_reachable:
-                # Its token is 0 here, which no server accepts that has an owner.
-                self.renew_lease(server)
-                return
-            if self.context.now_ms < server.claim_after_ms:
-                return
-        server.ownership = Ownership.CLAIMING
-        server.token = make_token(election.term, self.context.random_state)
-        self.renew_lease(server)
-
-    def _is_held_elsewhere(self, server):
-        return any(
-            server.id in peer.heartbeat.held_ids
-            or self.cells.covers(peer.heartbeat, server)
-            for peer in self.membership.list_live()
-        )
-
-    def _has_higher_claim(self, election):
-        claims = self.cells.list_claims(election.cell)
-        return any(claim.term > election.term for _, _, claim in claims)
-
-    def _reclaim_fenced(self, server):
-        """Claim a fenced server again, unless a live instance has a higher claim."""
-        server.ownership = Ownership.NONE
-        election = self.cells.get(server.cell)
-        if not election.is_owner or self._has_higher_claim(election):
-            return
-        if server.refused_term >= election.term:
-            election.raise_term()
-        else:
-            self._claim_server(server)
-
     def _apply_response(self, server, event):
         self._record_response(server, event.clock_ms)
         if server.ownership is Ownership.CLAIMING:
--- a/tests/proving/fleet/test_fleet_seeds.py
+++ b/tests/proving/fleet/test_fleet_seeds.py
@@ -111,7 +111,7 @@
 
     def claim_and_use(self, message):
         for server in message.servers:
-            self._claim_server(server)
+            self.claims.claim(server)
 
     monkeypatch.setattr(LeaseManager, "on_servers_added", claim_and_use)
     monkeypatch.setattr(Cells, "find_servers_digest", lambda self, address, cell: None)
