TST Rules on claims after a partition and a loss are shown to fail by mutations

Four mutations: servers claimed before the instances on their side are heard, a third claim, terms that run ahead of the clock, the clock of one instance alone.

--- a/tests/dispatch/test_total_loss.py
+++ b/tests/dispatch/test_total_loss.py
@@ -22,6 +22,7 @@
     ServerRecord,
     StartRun,
     StepSpec,
+    _election,
 )
 from buckthornshift.proving.fleet import FleetPlan, FleetWorld
 
@@ -199,3 +200,21 @@
         world.kill_instance(instance)
     fleet.return_ms = world.clock.now_ms + RESTART_MS
     assert fleet.find_claimed_ms() <= 4.0 * MAX_CLAIM_MS
+
+
+def test_terms_that_run_ahead_of_the_clock_are_detected(monkeypatch):
+    """Mutation: each refusal raises the term by 16 s, as it did."""
+    monkeypatch.setattr(_election, "REFUSED_TERM_INCREMENT", 16 * _election.TERMS_PER_S)
+    fleets = [RestartAfterPartitions(6, seed) for seed in range(4)]
+    for fleet in fleets:
+        fleet.find_claimed_ms()
+    assert any(fleet.n_refused for fleet in fleets)
+
+
+def test_the_time_of_day_of_one_instance_alone_is_detected(monkeypatch):
+    """Mutation: the clocks of the others don't count."""
+    monkeypatch.setattr(_election.statistics, "median_high", lambda wall_ms: wall_ms[0])
+    fleets = [RestartAfterPartitions(6, seed, -2_400.0) for seed in range(4)]
+    for fleet in fleets:
+        fleet.find_claimed_ms()
+    assert any(fleet.n_refused for fleet in fleets)
--- a/tests/proving/fleet/test_partition_heals.py
+++ b/tests/proving/fleet/test_partition_heals.py
@@ -8,6 +8,8 @@
 import pytest
 
 from buckthornshift.dispatch import LogCode
+from buckthornshift.dispatch._cells import Cells
+from buckthornshift.dispatch._membership import Membership
 from buckthornshift.proving.fleet import FleetPlan, FleetWorld
 from buckthornshift.proving.fleet._callers import FleetCallers
 
@@ -40,7 +42,8 @@
 
     :param sides: the :class:`Sides`.
     :param heals_first: "servers" or "instances", which the others reach first again;
-        "both" for the same time; "one_way" if isolated zones hear the others first.
+        "both" for the same time; "one_way" if isolated zones hear the others first;
+        "owner" if of the isolated instances only the owner hears the others at first.
     :param seed: seed of the run.
     """
 
@@ -61,6 +64,12 @@
         callers.start()
         self.world.clock.run_until(CUT_MS)
         self.isolate_zones(sides)
+        self.world.clock.run_until(0.5 * (CUT_MS + HEAL_MS))
+        if heals_first == "owner":
+            # An instance that started later is preferred as owner.
+            for instance in self.world.instances:
+                if instance.zone in self.zones and not instance.core.cells.is_owner:
+                    self.world.kill_instance(instance)
         self.world.clock.run_until(HEAL_MS)
         self.owners = [i for i in self.world.instances if i.core.cells.is_owner]
         self.n_stopped = self.world.oracle.counts.n_stopped
@@ -80,7 +89,12 @@
         world = self.world
         faults = world.network.faults
         faults.isolated_zones.clear()
+        isolated = [i for i in world.instances if i.zone in self.zones]
+        sources = {
+            "owner": [i for i in isolated if i not in self.owners],
+        }.get(heals_first, world.instances)
         targets = {
+            "owner": world.instances,
             "servers": world.instances,
             "one_way": [i for i in world.instances if i.zone not in self.zones],
             "instances": list(world.servers_by_id.values()),
@@ -88,12 +102,14 @@
         }[heals_first]
         pairs = {
             (instance.name, target.name)
-            for instance in world.instances
+            for instance in sources
             for target in targets
             if self.find_side(instance) != self.find_side(target)
         }
         faults.one_way_cuts |= pairs
-        world.clock.run_until(HEAL_MS + LAG_MS * bool(pairs))
+        # A third instance would claim some 300 ms after the owner has given up.
+        lag_ms = 3.0 * LAG_MS if heals_first == "owner" else LAG_MS
+        world.clock.run_until(HEAL_MS + lag_ms * bool(pairs))
         faults.one_way_cuts -= pairs
 
     def find_side(self, machine):
@@ -129,7 +145,7 @@
         Sides(n_zones=2, has_owner=False),
         Sides(n_isolated=2),
     )
-    for heals_first in ("both", "servers", "instances", "one_way")
+    for heals_first in ("both", "servers", "instances", "one_way", "owner")
 ]
 
 
@@ -156,3 +172,17 @@
     assert larger.core.cells.is_owner
     assert fleet.find_largest_gap(larger) <= MAX_GAP_MS
     assert fleet.list_after_heal(LogCode.OWNER_YIELDED, larger) == []
+
+
+def test_claiming_regained_servers_at_once_is_detected(monkeypatch):
+    """Mutation: servers are claimed before the instances on their side are heard."""
+    monkeypatch.setattr(Membership, "has_lost_instances", lambda self: False)
+    fleet = HealingFleet(ONE_ZONE, "servers")
+    assert len(fleet.list_after_heal(LogCode.OWNER_CLAIMED)) > 1
+
+
+def test_a_third_claim_is_detected(monkeypatch):
+    """Mutation: instances claim a cell that another one has just given up."""
+    monkeypatch.setattr(Cells, "has_unheard_owner", lambda self, cell: False)
+    fleet = HealingFleet(ONE_ZONE, "owner")
+    assert len(fleet.list_after_heal(LogCode.OWNER_CLAIMED)) > 1
