FIX A new owner with an old list of servers waits for the list

Change: such an owner starts no task before it has the list, for 300 ms at most, while there is an owner of the first cell.

--- a/buckthornshift/dispatch/_core.py
+++ b/buckthornshift/dispatch/_core.py
@@ -258,6 +258,7 @@
             job_order=self.job_order,
             late_service=self.late_service,
             admission=self.admission,
+            list_follower=self.list_follower,
         )
         self.cells.count_waiting_cpu = self.scheduler.count_waiting_cpu
         self.shutdown = GracefulShutdown(
--- a/buckthornshift/dispatch/_list_follower.py
+++ b/buckthornshift/dispatch/_list_follower.py
@@ -13,6 +13,9 @@
 from ._list_publisher import LIST_CELL
 from ._peer_messages import ServerHealthUpdate, ServerListUpdate
 
+# How long a new owner waits for the list: three heartbeats.
+MAX_LIST_WAIT_MS = 300.0
+
 
 class ListFollower:
     """Keep the list of servers and their health up to date.
@@ -55,6 +58,21 @@
             HousekeepingDue: self.on_housekeeping,
         }
 
+    def is_awaiting_list(self, cell):
+        """Return whether an owner is to get a list before it starts tasks in a cell.
+
+        Its own list may name servers that have begun to leave. The owner of the first
+        cell sends it at its next heartbeat; without that owner, or after a
+        while, the own list is used.
+
+        :param cell: number of the cell.
+        """
+        if not self.may_be_stale or self.cells.is_owner_of(LIST_CELL):
+            return False
+        age_ms = self.context.now_ms - self.cells.get(cell).claimed_ms
+        has_publisher = bool(self.cells.list_claims(LIST_CELL))
+        return has_publisher and age_ms < MAX_LIST_WAIT_MS
+
     def on_claim_started(self, message):
         """Start following the list in the store, as owner of the first cell."""
         if message.cell == LIST_CELL:
--- a/buckthornshift/dispatch/_scheduler.py
+++ b/buckthornshift/dispatch/_scheduler.py
@@ -25,6 +25,7 @@
     :param job_order: the :class:`ObjectiveOrder` or :class:`CostOrder`.
     :param late_service: the :class:`LateService`.
     :param admission: the :class:`AdmissionController`.
+    :param list_follower: the :class:`ListFollower`.
     """
 
     def __init__(
@@ -38,6 +39,7 @@
         job_order=None,
         late_service=None,
         admission=None,
+        list_follower=None,
     ):
         self.context = context
         self.fleet = fleet
@@ -48,6 +50,7 @@
         self.job_order = job_order
         self.late_service = late_service
         self.admission = admission
+        self.list_follower = list_follower
         self.is_pass_requested = False
         self._next_check_ms_by_cell = {}
 
@@ -62,7 +65,8 @@
         if owned_cells:
             self.server_speeds.refresh_if_due()
         for cell in owned_cells:
-            self._schedule_cell(cell)
+            if not self.list_follower.is_awaiting_list(cell):
+                self._schedule_cell(cell)
 
     def count_waiting_cpu(self, cell):
         """Return the total CPU need of a cell's waiting tasks, in millicores."""
--- a/tests/proving/fleet/test_cells_runs.py
+++ b/tests/proving/fleet/test_cells_runs.py
@@ -31,6 +31,7 @@
 # Regression seeds of all kinds of faults.
 MIXED_REGRESSION_SEEDS = {
     5030: "an owner that had yielded kept a job that was resubmitted elsewhere",
+    9414: "a new owner with an old list started a task on a draining server",
     5034: "a job waited in a cell whose only servers were lost but still listed",
 }
 
