--- a/buckthornshift/dispatch/_election.py
+++ b/buckthornshift/dispatch/_election.py
@@ -5,8 +5,6 @@
 other raise their tokens, but break no guarantee.
 """
 
-import statistics
-
 from ._actions import LogCode
 from ._internal_messages import ClaimEnded, ClaimStarted, OwnerChanged
 
@@ -40,6 +38,11 @@
     return token >> TOKEN_RANDOM_BITS
 
 
+def compute_upper_median(values):
+    """Return the middle one of some values; of two middle ones the larger."""
+    return sorted(values)[len(values) // 2]
+
+
 class Election:
     """Track the owner of a cell; claim it if it has none, yield to a higher claim.
 
@@ -216,8 +219,8 @@
             uptime_ms = peer.get_uptime_ms(now_ms)
             if peer.heartbeat.born_ms and uptime_ms < float("inf"):
                 wall_ms.append(peer.heartbeat.born_ms + uptime_ms)
-        median_ms = statistics.median_high(wall_ms)
-        return int((median_ms - TERM_EPOCH_MS) * TERMS_PER_S / 1_000.0)
+        time_ms = compute_upper_median(wall_ms) - TERM_EPOCH_MS
+        return int(time_ms * TERMS_PER_S / 1_000.0)
 
     def _yield_to_higher(self, peer, claim):
         self.context.log(
--- a/tests/dispatch/test_total_loss.py
+++ b/tests/dispatch/test_total_loss.py
@@ -213,7 +213,7 @@
 
 def test_the_time_of_day_of_one_instance_alone_is_detected(monkeypatch):
     """Mutation: the clocks of the others don't count."""
-    monkeypatch.setattr(_election.statistics, "median_high", lambda wall_ms: wall_ms[0])
+    monkeypatch.setattr(_election, "compute_upper_median", lambda values: values[0])
     fleets = [RestartAfterPartitions(6, seed, -2_400.0) for seed in range(4)]
     for fleet in fleets:
         fleet.find_claimed_ms()
