--- a/tests/dispatch/test_late_service.py
+++ b/tests/dispatch/test_late_service.py
@@ -1,8 +1,8 @@
 """Late service, under loads with more work than room.
 
-A burst of all queues, a queue of a minute at twice the room, a third of the servers
-lost. Guards against callers that are refused though an answer a little later would
-have helped them, and against late jobs that take the room of those in time.
+A burst of all queues, twice the room for 8 s, a third of the servers lost. Guards
+against callers that are refused though an answer a little later would have helped
+them, and against late jobs that take the room of those in time.
 """
 
 import pytest
--- a/tools/summarize_losses.py
+++ b/tools/summarize_losses.py
@@ -97,9 +97,10 @@
     for ends in ends_by_key.values():
         columns.update(ends)
     names = [name for name, _ in columns.most_common()]
-    click.echo(f"\n{title:14}" + "".join(f"{name:>22}" for name in names))
+    widths = {name: len(name) + 2 for name in names}
+    click.echo(f"\n{title:14}" + "".join(f"{n:>{widths[n]}}" for n in names))
     for key in sorted(ends_by_key):
-        cells = "".join(f"{ends_by_key[key][name]:22}" for name in names)
+        cells = "".join(f"{ends_by_key[key][n]:{widths[n]}}" for n in names)
         click.echo(f"{key!s:14}{cells}")
 
 
