--- a/review/4/case.py
+++ b/review/4/case.py
@@ -15,7 +15,7 @@
 
 
 async def play(record, has_trouble):
-    site = Site(record, n_instances=3, n_runners=6)
+    site = Site(record, n_instances=9, n_runners=24)
     if not await site.start(make_config()):
         await site.close()
         return None
--- a/review/standins.py
+++ b/review/standins.py
@@ -9,6 +9,8 @@
 import base64
 import json
 import os
+import random
+import shutil
 import signal
 import socket
 import struct
@@ -251,7 +253,7 @@
             "Sequence": self._sequence,
         }
         if self.state == "draining":
-            entry["RemainingMs"] = 2_000
+            entry["RemainingMs"] = 3_000
         self._store.put("keyed.servers", self.id, json.dumps(entry).encode())
 
     async def _beat(self):
@@ -365,7 +367,7 @@
         self.is_cut = False
         self.resets_requests = False
         self._server = None
-        self._writers = set()
+        self._connections = []
         self._tasks = set()
 
     async def start(self):
@@ -376,14 +378,18 @@
     def address(self):
         return f"{HOST}:{self.port}"
 
-    def reset(self):
-        """Reset all open connections."""
-        for writer in list(self._writers):
-            sock = writer.get_extra_info("socket")
-            if sock is not None and sock.fileno() >= 0:
-                linger = struct.pack("ii", 1, 0)
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-            writer.transport.abort()
+    def reset(self, sender=b""):
+        """Reset the open connections whose first bytes name a sender, or all.
+
+        An instance names its own address when it connects to another one.
+        """
+        n_reset = 0
+        for connection in self._connections:
+            if sender in connection["first"]:
+                n_reset += not connection["near"].transport.is_closing()
+                for writer in (connection["near"], connection["far"]):
+                    reset_connection(writer)
+        return n_reset
 
     def close(self):
         self._server.close()
@@ -402,29 +408,43 @@
         except OSError:
             writer.transport.abort()
             return
-        self._writers |= {writer, far_writer}
+        connection = {"near": writer, "far": far_writer, "first": b""}
+        self._connections.append(connection)
         for source, sink in ((reader, far_writer), (far_reader, writer)):
-            task = asyncio.ensure_future(self._forward(source, sink))
+            task = asyncio.ensure_future(self._forward(connection, source, sink))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
 
-    async def _forward(self, source, sink):
+    async def _forward(self, connection, source, sink):
         try:
             while data := await source.read(65_536):
+                if not connection["first"] and sink is connection["far"]:
+                    connection["first"] = data[:256]
                 while self.is_cut:
                     await asyncio.sleep(0.02)
                 if self.resets_requests:
-                    self.reset()
+                    reset_connection(connection["near"])
+                    reset_connection(connection["far"])
                     return
                 sink.write(data)
                 await sink.drain()
         except (ConnectionError, OSError):
             pass
         finally:
-            self._writers.discard(sink)
+            if connection in self._connections and sink.transport.is_closing():
+                self._connections.remove(connection)
             sink.close()
 
 
+def reset_connection(writer):
+    """Close a connection with a reset."""
+    sock = writer.get_extra_info("socket")
+    if sock is not None and sock.fileno() >= 0:
+        linger = struct.pack("ii", 1, 0)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
+
+
 async def call(port, method, path, host, body=b"", headers=(), timeout_s=30.0):
     """Send one request over a new connection; return status and body, or None."""
     writer = None
@@ -583,18 +603,23 @@
         for runner in self.runners:
             runner.close()
         self.store.close()
+        shutil.rmtree(self.folder)
 
 
 def find_free_ports(n_ports):
-    sockets = []
-    for _ in range(n_ports):
-        sock = socket.socket()
-        sock.bind((HOST, 0))
-        sockets.append(sock)
-    ports = [sock.getsockname()[1] for sock in sockets]
-    for sock in sockets:
-        sock.close()
-    return ports
+    """Return free ports below those that outgoing connections take."""
+    candidates = random.sample(range(10_000, 30_000), 50 * n_ports)
+    ports = []
+    for port in candidates:
+        with socket.socket() as sock:
+            try:
+                sock.bind((HOST, port))
+            except OSError:
+                continue
+        ports.append(port)
+        if len(ports) == n_ports:
+            return ports
+    raise OSError("too few free ports")
 
 
 def make_config(timeout_ms=20_000):
