--- a/review/standins.py
+++ b/review/standins.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import base64
+import contextlib
 import json
 import os
 import random
@@ -323,7 +324,9 @@
         duration_ms = json.loads(order["Spec"])["ms"][step]
         self.runs[task] = Run(task, number, duration_ms)
         self.starts.append((now_ms(), task, number))
-        self.record.add(f"runner {self.id}: start of {task} run {number} ({self.state})")
+        self.record.add(
+            f"runner {self.id}: start of {task} run {number} ({self.state})"
+        )
         return self._answer(200)
 
     def _extend(self, deadline_ms):
@@ -336,10 +339,8 @@
             self._extend(order["DeadlineMs"])
         wait_s = order.get("WaitMs", 0) / 1000.0
         if wait_s and not self.ended:
-            try:
+            with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self._ended_event.wait(), wait_s)
-            except TimeoutError:
-                pass
         time_ms = now_ms()
         running = [
             [
@@ -499,7 +500,6 @@
         return path
 
     async def start(self):
-        log = open(os.path.join(self.site.folder, f"{self.name}.log"), "ab")
         environment = {
             "PATH": os.environ.get("PATH", ""),
             "HOME": os.environ.get("HOME", ""),
@@ -507,16 +507,17 @@
             "PYTHONPATH": os.path.join(REPO, "target", "deps"),
             "BUCKTHORNSHIFT_CONFIG": self.write_settings(),
         }
-        self.process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "-m",
-            "buckthornshift.serving",
-            cwd=REPO,
-            env=environment,
-            stdout=log,
-            stderr=log,
-        )
-        log.close()
+        log_path = os.path.join(self.site.folder, f"{self.name}.log")
+        with open(log_path, "ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "buckthornshift.serving",
+                cwd=REPO,
+                env=environment,
+                stdout=log,
+                stderr=log,
+            )
 
     def send(self, number):
         if self.process is not None and self.process.returncode is None:
@@ -545,7 +546,9 @@
         await self.store.start()
         self.store.put("keyed.op", "config", json.dumps(config).encode())
         for index in range(self.n_runners):
-            runner = Runner(f"i-{index + 1:04x}{os.getpid():06x}", self.service, self.record)
+            runner = Runner(
+                f"i-{index + 1:04x}{os.getpid():06x}", self.service, self.record
+            )
             await runner.join(self.store)
             self.runners.append(runner)
         ports = find_free_ports(4 * self.n_instances)
