--- a/review/standins.py
+++ b/review/standins.py
@@ -24,6 +24,8 @@
 HEARTBEAT_S = 1.5
 STOP_MS = 30.0
 HOLD_MAX_MS = 1_000.0
+# First interval after which TCP repeats data; each further one is twice as long.
+RETRANSMIT_MS = 200.0
 REPO = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 
 
@@ -205,6 +207,7 @@
         self.runs = {}
         self.ended = []
         self.starts = []
+        self.spans = []
         self._n_ended = 0
         self._barred = {}
         self._lease_end_ms = 0.0
@@ -282,6 +285,7 @@
         self._barred[run.task] = max(self._barred.get(run.task, 0), run.run)
         self._n_ended += 1
         self.ended.append([self._n_ended, run.task, run.run, how, ""])
+        self.spans.append((run.task, run.run, run.started_ms, now_ms(), how))
         self.record.add(f"runner {self.id}: {run.task} run {run.run} ended: {how}")
         self._ended_event.set()
         self._ended_event = asyncio.Event()
@@ -360,13 +364,19 @@
 
 
 class Link:
-    """A TCP proxy on the way to one address, which can be cut or reset."""
+    """A TCP proxy on the way to one address, which can be cut or reset.
+
+    A cut holds back the data of open connections, as a partition does. It arrives when
+    TCP repeats it for the first time after the cut: 0.2, 0.6, 1.4, 3.0, ... s after it
+    was first sent. Connections that are opened during a cut pass on nothing.
+    """
 
     def __init__(self, port):
         self.target_port = port
         self.port = 0
         self.is_cut = False
         self.resets_requests = False
+        self.cut_senders = set()
         self._server = None
         self._connections = []
         self._tasks = set()
@@ -379,14 +389,14 @@
     def address(self):
         return f"{HOST}:{self.port}"
 
-    def reset(self, sender=b""):
-        """Reset the open connections whose first bytes name a sender, or all.
+    def reset(self, sender=None):
+        """Reset the open connections of an instance, or all, and return their number.
 
-        An instance names its own address when it connects to another one.
+        :param sender: address of the instance, which it names when it connects.
         """
         n_reset = 0
         for connection in self._connections:
-            if sender in connection["first"]:
+            if sender in (None, connection["sender"]):
                 n_reset += not connection["near"].transport.is_closing()
                 for writer in (connection["near"], connection["far"]):
                     reset_connection(writer)
@@ -409,7 +419,7 @@
         except OSError:
             writer.transport.abort()
             return
-        connection = {"near": writer, "far": far_writer, "first": b""}
+        connection = {"near": writer, "far": far_writer, "sender": ""}
         self._connections.append(connection)
         for source, sink in ((reader, far_writer), (far_reader, writer)):
             task = asyncio.ensure_future(self._forward(connection, source, sink))
@@ -419,10 +429,12 @@
     async def _forward(self, connection, source, sink):
         try:
             while data := await source.read(65_536):
-                if not connection["first"] and sink is connection["far"]:
-                    connection["first"] = data[:256]
-                while self.is_cut:
-                    await asyncio.sleep(0.02)
+                if not connection["sender"] and sink is connection["far"]:
+                    connection["sender"] = read_sender(data)
+                    if self._holds(connection):
+                        await self._hold_back(connection)
+                        return
+                await self._hold_back(connection)
                 if self.resets_requests:
                     reset_connection(connection["near"])
                     reset_connection(connection["far"])
@@ -436,6 +448,27 @@
                 self._connections.remove(connection)
             sink.close()
 
+    def _holds(self, connection):
+        return self.is_cut or bool(self.cut_senders & {connection["sender"], "*"})
+
+    async def _hold_back(self, connection):
+        if not self._holds(connection):
+            return
+        repeat_ms, interval_ms = now_ms() + RETRANSMIT_MS, RETRANSMIT_MS
+        while self._holds(connection) or now_ms() < repeat_ms:
+            await asyncio.sleep(0.005)
+            if now_ms() >= repeat_ms and self._holds(connection):
+                interval_ms *= 2.0
+                repeat_ms += interval_ms
+
+
+def read_sender(data):
+    """Return the address that an instance names in its first frame, or ""."""
+    if len(data) < 14:
+        return ""
+    (length,) = struct.unpack_from(">H", data, 12)
+    return data[14 : 14 + length].decode("latin-1")
+
 
 def reset_connection(writer):
     """Close a connection with a reset."""
