--- a/review/standins.py
+++ b/review/standins.py
@@ -26,6 +26,7 @@
 HOLD_MAX_MS = 1_000.0
 # First interval after which TCP repeats data; each further one is twice as long.
 RETRANSMIT_MS = 200.0
+ORDER_PATHS = ("/-/run-start", "/-/run-stop", "/-/hold")
 REPO = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 
 
@@ -293,6 +294,8 @@
     async def handle(self, method, path, query, headers, body):
         if path == "/health":
             return 200, b"{}"
+        if path not in ORDER_PATHS:
+            return 404, b"{}"
         if headers.get("x-expect-instance", self.id) != self.id:
             return 421, b"{}"
         order = json.loads(body)
@@ -310,9 +313,7 @@
             if run is not None and run.run <= number and run.stop_ms is None:
                 run.stop_ms = now_ms() + STOP_MS
             return self._answer(200)
-        if path == "/-/hold":
-            return await self._hold(order)
-        return 404, b"{}"
+        return await self._hold(order)
 
     def _begin(self, order):
         task, number = order["Task"], order["RunId"]
