ENH Number the connections between instances, and log what replaces them

Change: the handshake carries a number that rises with each connection of a process; the number reaches the core with each message. An instance of an earlier version ignores it, and sends none. job_queued names the sending instance and its attempt, job_sent names the attempt and whether it is a repeat, peer_connected is new. The simulated network can hold messages up in a partition, as TCP does, and deliver them after it (FleetPlan.holds_cut_messages; off by default).

--- a/buckthornshift/dispatch/_events.py
+++ b/buckthornshift/dispatch/_events.py
@@ -39,11 +39,14 @@
 
     :param address: address of the sender.
     :param incarnation: incarnation of the sender.
+    :param connection: number of the connection that it came over; the sender numbers
+        its connections in the order in which it opens them. 0 if it sends no number.
     :param message: the message.
     """
 
     address: str = ""
     incarnation: int = 0
+    connection: int = 0
     message: object = None
 
 
--- a/buckthornshift/dispatch/_membership.py
+++ b/buckthornshift/dispatch/_membership.py
@@ -183,6 +183,7 @@
         """Send a heartbeat at once on a new connection, so that contact begins."""
         peer = self.by_address.get(event.address)
         if peer is not None:
+            self.context.log(LogCode.PEER_CONNECTED, peer.address, is_live=peer.is_live)
             # Messages sent before may have been lost with the former connection.
             peer.sent_contact_number = 0
             peer.config_sent_ms = peer.evacuations_sent_ms = -1e9
--- a/buckthornshift/dispatch/_owner_jobs.py
+++ b/buckthornshift/dispatch/_owner_jobs.py
@@ -333,6 +333,7 @@
 
     def _accept(self, job, message):
         context = self.context
+        (submission,) = job.submissions
         self.by_id[job.job_id] = job
         margin_ms = context.settings.answer_margin_ms
         delay_ms = max(0.0, job.deadline_ms - context.now_ms - margin_ms)
@@ -345,6 +346,8 @@
             latest_start_in_ms=round(job.latest_start_ms - context.now_ms, 1),
             n_jobs=len(self.by_id),
             is_resent=job.is_resent,
+            home=submission.address,
+            attempt=submission.attempt,
         )
         if job.is_resent:
             self.runs.adoption.adopt_runs_of(job, message)
--- a/buckthornshift/dispatch/_request_router.py
+++ b/buckthornshift/dispatch/_request_router.py
@@ -197,6 +197,7 @@
                 runs_left = request.runs_left
                 self._record_former_owner(request, request.owner)
                 request.runs_left = runs_left
+                self._log_sent(request, is_repeat=True)
                 self._submit(request)
 
     def on_received(self, event):
@@ -331,14 +332,7 @@
             return
         request.owner = (address, term, self._find_incarnation(address))
         request.attempt += 1
-        context.log(
-            LogCode.JOB_SENT,
-            request.job.job_id,
-            owner=address,
-            cell=cell,
-            term=term,
-            is_resent=request.may_have_run,
-        )
+        self._log_sent(request)
         self._submit(request)
 
     def _sees_all_runs(self, request, address, complete_term):
@@ -406,6 +400,19 @@
         delay_ms = max(0.0, request.resubmit_at_ms - context.now_ms)
         context.start_timer(delay_ms, ResubmitDue(key=request.key))
 
+    def _log_sent(self, request, is_repeat=False):
+        address, term, _ = request.owner
+        self.context.log(
+            LogCode.JOB_SENT,
+            request.job.job_id,
+            owner=address,
+            cell=request.cell,
+            term=term,
+            is_resent=request.may_have_run,
+            attempt=request.attempt,
+            is_repeat=is_repeat,
+        )
+
     def _find_incarnation(self, address):
         peer = self.membership.by_address.get(address)
         return None if peer is None else peer.incarnation
--- a/buckthornshift/proving/fleet/_network.py
+++ b/buckthornshift/proving/fleet/_network.py
@@ -20,6 +20,8 @@
 # second in a run, so that its messages queue up.
 FULL_LINK_MESSAGE_MS = 8.0
 MAX_LINK_DELAY_MS = 5_000.0
+# Delay until TCP repeats data for the first time; each further delay is twice as long.
+FIRST_REPEAT_MS = 200.0
 
 
 @attrs.define(kw_only=True)
@@ -46,6 +48,22 @@
     lost_response_probability: float = 0.0
 
 
+@attrs.define(kw_only=True)
+class PeerLink:
+    """A connection over which one process sends messages to another.
+
+    :param source_key: key of the sender's process.
+    :param target_key: key of the receiver's process; ``None`` if the link is silent.
+    :param number: rises with each link.
+    :param held_messages: messages that a partition holds up, oldest first.
+    """
+
+    source_key: tuple = ()
+    target_key: tuple | None = None
+    number: int = 0
+    held_messages: list = attrs.field(factory=list)
+
+
 class FleetNetwork:
     """Deliver peer messages and server commands, with delays and faults.
 
@@ -55,7 +73,9 @@
     def __init__(self, world=None):
         self.world = world
         self.faults = NetworkFaults()
+        # The open links, by the sender's process and the receiver's address.
         self._link_by_pair = {}
+        self._n_links = 0
         self._link_free_ms_by_direction = {}
         # Commands sent over a full link, whose responses may come after the timeout,
         # with whether the timeout has fired.
@@ -80,7 +100,7 @@
     def are_connected(self, instance, other):
         """Return whether open links carry messages between two instances both ways."""
         return all(
-            self._link_by_pair.get((source.key, target.name)) == target.key
+            self._is_link_open(source, target)
             and self.can_reach(source, target)
             and source.name not in self.faults.full_links
             for source, target in ((instance, other), (other, instance))
@@ -91,9 +111,9 @@
 
         :param share: probability for each link.
         """
-        for pair in list(self._link_by_pair):
+        for link in self._link_by_pair.values():
             if self.world.random_state.random() < share:
-                self._link_by_pair[pair] = None
+                link.target_key = None
 
     def dial(self, instance, address):
         """Open a link from one instance to another; takes one round trip."""
@@ -110,14 +130,16 @@
     def send(self, instance, action):
         """Send a message to a peer; drop it if no link to its process is open."""
         world = self.world
-        pair = (instance.key, action.address)
-        target_key = self._link_by_pair.get(pair)
+        link = self._link_by_pair.get((instance.key, action.address))
         target = world.find_instance(action.address)
-        if target_key is None or target is None or target.key != target_key:
+        if link is None or target is None or target.key != link.target_key:
+            return
+        if link.held_messages:
+            link.held_messages.append(action.message)
             return
         delay_ms = self._draw_delay(instance, target)
         world.clock.schedule(
-            delay_ms, self._deliver_message, instance, instance.key, target_key, action
+            delay_ms, self._deliver_message, instance, link, action.message
         )
 
     def send_command(self, instance, command):
@@ -170,18 +192,64 @@
             return
         if not self.can_reach(target, instance):
             return
-        self._link_by_pair[key, address] = target.key
+        self._n_links += 1
+        self._link_by_pair[key, address] = PeerLink(
+            source_key=key, target_key=target.key, number=self._n_links
+        )
         self.world.deliver(instance, key, PeerConnected(address=address))
 
-    def _deliver_message(self, instance, instance_key, target_key, action):
-        target = self.world.find_instance(action.address)
-        is_same_process = target is not None and target.key == target_key
-        if not is_same_process or not self.can_reach(instance, target):
+    def _is_link_open(self, source, target):
+        link = self._link_by_pair.get((source.key, target.name))
+        return link is not None and link.target_key == target.key
+
+    def _deliver_message(self, instance, link, message):
+        target = self._find_target(link)
+        if target is None:
             return
+        if link.held_messages:
+            link.held_messages.append(message)
+        elif self.can_reach(instance, target):
+            self._hand_over(link, target, message)
+        elif self.world.plan.holds_cut_messages:
+            link.held_messages.append(message)
+            self._schedule_repeat(instance, link, FIRST_REPEAT_MS)
+
+    def _schedule_repeat(self, instance, link, delay_ms):
+        self.world.clock.schedule(
+            delay_ms, self._repeat_held, instance, link, 2.0 * delay_ms
+        )
+
+    def _repeat_held(self, instance, link, next_delay_ms):
+        """Deliver the messages that a partition held up, in order, once it is over.
+
+        Also those of a link that was replaced meanwhile, or whose sender has ended.
+        """
+        target = self._find_target(link)
+        if target is None:
+            return
+        if not self.can_reach(instance, target):
+            self._schedule_repeat(instance, link, next_delay_ms)
+            return
+        messages, link.held_messages = link.held_messages, []
+        for message in messages:
+            self._hand_over(link, target, message)
+
+    def _find_target(self, link):
+        """Return the instance at the end of a link, if its process has not ended."""
+        if link.target_key is None:
+            return None
+        target = self.world.find_instance(link.target_key[0])
+        return target if target is not None and target.key == link.target_key else None
+
+    def _hand_over(self, link, target, message):
+        address, incarnation = link.source_key
         event = PeerMessageReceived(
-            address=instance_key[0], incarnation=instance_key[1], message=action.message
+            address=address,
+            incarnation=incarnation,
+            connection=link.number,
+            message=message,
         )
-        self.world.deliver(target, target_key, event)
+        self.world.deliver(target, link.target_key, event)
 
     def _deliver_command(self, instance, key, server, command, is_lost):
         world = self.world
--- a/buckthornshift/proving/fleet/_plan.py
+++ b/buckthornshift/proving/fleet/_plan.py
@@ -156,6 +156,8 @@
     :param event_ms: processor time that an instance needs for one event.
     :param lists_instances: whether instances read the addresses of all others from the
         store, not just those of the seeds from their settings.
+    :param holds_cut_messages: whether a partition holds messages between instances up,
+        as TCP does, instead of dropping them.
     :param shape: the :class:`FleetShape`.
     """
 
@@ -172,6 +174,7 @@
     client_delay_ms: float = 3.0
     event_ms: float = 0.0
     lists_instances: bool = True
+    holds_cut_messages: bool = False
     shape: FleetShape = FleetShape()
 
 
--- a/buckthornshift/serving/_peer_connections.py
+++ b/buckthornshift/serving/_peer_connections.py
@@ -13,8 +13,10 @@
 from ..dispatch import PEER_MESSAGES, PeerConnected, PeerMessageReceived
 
 _LENGTH_PREFIX = struct.Struct(">I")
-# Incarnation of the sender and length of its address, which follows.
+# Incarnation of the sender and length of its address. The address and the number of the
+# connection follow; instances of earlier versions send no number.
 _HANDSHAKE = struct.Struct(">QH")
+_CONNECTION_NUMBER = struct.Struct(">Q")
 MAX_FRAME_BYTES = 4_194_304
 # Bytes buffered for a peer that does not read, above which its connection is aborted.
 MAX_BUFFERED_BYTES = 1_048_576
@@ -77,6 +79,7 @@
         self._buffer = bytearray()
         self._address = None
         self._incarnation = 0
+        self._number = 0
 
     def connection_made(self, transport):
         self._transport = transport
@@ -116,7 +119,10 @@
         if isinstance(message, UnknownMessage):
             return True
         event = PeerMessageReceived(
-            address=self._address, incarnation=self._incarnation, message=message
+            address=self._address,
+            incarnation=self._incarnation,
+            connection=self._number,
+            message=message,
         )
         self._listener.post(event)
         return True
@@ -125,11 +131,14 @@
         if len(frame) < _HANDSHAKE.size:
             raise DecodeError("handshake is too short")
         incarnation, length = _HANDSHAKE.unpack_from(frame)
-        address = frame[_HANDSHAKE.size : _HANDSHAKE.size + length]
+        address_end = _HANDSHAKE.size + length
+        address = frame[_HANDSHAKE.size : address_end]
         if not address.isascii() or b":" not in address:
             raise DecodeError("handshake without the address of its sender")
         self._address = address.decode("ascii")
         self._incarnation = incarnation
+        if len(frame) >= address_end + _CONNECTION_NUMBER.size:
+            (self._number,) = _CONNECTION_NUMBER.unpack_from(frame, address_end)
 
 
 class PeerConnections:
@@ -146,6 +155,7 @@
         self.post = post
         self._connection_by_address = {}
         self._dial_task_by_address = {}
+        self._n_connections = 0
         self._last_message = None
         self._last_frame = b""
 
@@ -200,9 +210,12 @@
         except (OSError, TimeoutError, ValueError):
             # The core repeats the attempt until it hears from the instance.
             return
+        self._n_connections += 1
         own_address = self.identity.address.encode("ascii")
         connection.send(
-            _HANDSHAKE.pack(self.identity.incarnation, len(own_address)) + own_address
+            _HANDSHAKE.pack(self.identity.incarnation, len(own_address))
+            + own_address
+            + _CONNECTION_NUMBER.pack(self._n_connections)
         )
         self._connection_by_address[address] = connection
         self.post(PeerConnected(address=address))
--- a/tests/serving/test_peer_connections.py
+++ b/tests/serving/test_peer_connections.py
@@ -48,10 +48,11 @@
         PeerMessageReceived(
             address="127.0.0.1:9",
             incarnation=7,
+            connection=1,
             message=Heartbeat(sent_ms=1.0, held_ids=("s",)),
         ),
         PeerMessageReceived(
-            address="127.0.0.1:9", incarnation=7, message=DropJob(key=3)
+            address="127.0.0.1:9", incarnation=7, connection=1, message=DropJob(key=3)
         ),
     ]
     assert not bad_frames
