FIX Don't start jobs by submissions that arrive over a replaced connection

Cause: an owner accepts a submission while it is in contact with the sender. That proves something only for messages in order. What a partition held up on a connection that the sender has replaced arrives after the first messages of the new one, when the sender has long submitted the job to another owner. Change: a message over a connection with a lower number than the highest one seen from the process is ignored, unless it is true whenever it is read (the outcome of an attempt, the end of a submission). This covers late lists of servers and submissions that arrive after their cancellation as well.

--- a/buckthornshift/dispatch/_core.py
+++ b/buckthornshift/dispatch/_core.py
@@ -106,7 +106,8 @@
         self._set_time(now_ms, wall_ms)
         self._fire_timers()
         is_drained = isinstance(event, TimeAdvanced)
-        self.context.post(InputDrained() if is_drained else event)
+        if not self._is_outdated(event):
+            self.context.post(InputDrained() if is_drained else event)
         return self._process_messages(is_drained)
 
     def find_next_due(self):
@@ -144,6 +145,10 @@
             "counters": attrs.asdict(context.counters),
         }
 
+    def _is_outdated(self, event):
+        is_message = isinstance(event, PeerMessageReceived)
+        return is_message and self.membership.is_outdated(event)
+
     def _build_components(self):
         context = self.context
         self.membership = Membership(context=context)
--- a/buckthornshift/dispatch/_membership.py
+++ b/buckthornshift/dispatch/_membership.py
@@ -17,7 +17,7 @@
 from ._actions import DisconnectPeer, LogCode, ReconnectPeer, SendToPeer
 from ._events import InstancesFound, PeerConnected, PeerMessageReceived
 from ._internal_messages import HeartbeatDue, PeerLost, RivalClaimEnded
-from ._peer_messages import ConfigurationUpdate, Heartbeat
+from ._peer_messages import ConfigurationUpdate, DropJob, Heartbeat, JobEnded
 
 PEER_RETENTION_MS = 10_000.0
 CONFIGURATION_RESEND_MS = 1_000.0
@@ -35,6 +35,9 @@
 MAX_ADDRESSES_PER_HEARTBEAT = 64
 # Only the uptime of processes that have just started matters.
 MAX_SENT_UPTIME_MS = 5_000.0
+# Messages that name one attempt of a submission, or a submission that has ended. They
+# are true whenever they are read.
+MESSAGES_VALID_LATE = (JobEnded, DropJob)
 # Fields of a heartbeat that change only when the settings are reloaded.
 CONSTANT_FIELDS = ("born_ms", "power", "name", "zone")
 
@@ -45,6 +48,7 @@
 
     :param address: ``host:port`` at which it is reached.
     :param incarnation: random number of its process; 0 before its first message.
+    :param connection: highest number of the connections over which it has sent.
     :param heartbeat: the last :class:`Heartbeat` received.
     :param last_heard_ms: when that was received, or ``None``.
     :param confirmed_sent_ms: send time of the newest own heartbeat that it has
@@ -69,6 +73,7 @@
 
     address: str = ""
     incarnation: int = 0
+    connection: int = 0
     heartbeat: Heartbeat = Heartbeat()
     last_heard_ms: float | None = None
     confirmed_sent_ms: float | None = None
@@ -173,6 +178,29 @@
         """Whether this instance is a hub."""
         return self.is_hub(self.context.identity.address)
 
+    def is_outdated(self, event):
+        """Return whether a message must not be handled, as it arrived out of order.
+
+        What a process sends over one connection arrives in order. Once it has sent over
+        a newer connection, what a partition held up on an older one may contradict what
+        it has done meanwhile: it may have submitted the job to another owner.
+
+        :param event: the :class:`PeerMessageReceived`.
+        """
+        if not self._is_replaced_connection(event):
+            return False
+        if isinstance(event.message, MESSAGES_VALID_LATE):
+            return False
+        if not isinstance(event.message, Heartbeat):
+            self.context.log(
+                LogCode.MESSAGE_OUTDATED,
+                event.address,
+                message=type(event.message).__name__,
+                connection=event.connection,
+                newest_connection=self.by_address[event.address].connection,
+            )
+        return True
+
     def on_instances_found(self, event):
         """Add and dial instances that are not known yet."""
         self.has_instance_list = self.has_instance_list or event.is_complete
@@ -196,6 +224,7 @@
             return
         if event.incarnation != peer.incarnation:
             self._reset_for_incarnation(peer, event)
+        peer.connection = max(peer.connection, event.connection)
         if isinstance(event.message, Heartbeat):
             self._read_heartbeat(peer, event.message)
 
@@ -238,6 +267,14 @@
             context.log(LogCode.PEER_FOUND, address)
         return peer
 
+    def _is_replaced_connection(self, event):
+        peer = self.by_address.get(event.address)
+        return (
+            peer is not None
+            and event.incarnation == peer.incarnation
+            and event.connection < peer.connection
+        )
+
     def _dial(self, peer):
         peer.last_dial_ms = self.context.now_ms
         peer.n_unanswered_dials += 1
@@ -250,6 +287,7 @@
             self._mark_lost(peer)
             self._dial(peer)
         peer.incarnation = event.incarnation
+        peer.connection = 0
         peer.heartbeat = Heartbeat()
         peer.servers_digest_by_cell.clear()
         peer.confirmed_sent_ms = peer.introduced_ms = None
--- a/tests/dispatch/test_list_publisher.py
+++ b/tests/dispatch/test_list_publisher.py
@@ -47,8 +47,12 @@
             digest = self.core.fleet.digest()
         return Heartbeat(sent_ms=self.now_ms, echo_ms=self.now_ms, list_digest=digest)
 
-    def receive(self, message, address="p:0"):
-        self.feed(PeerMessageReceived(address=address, incarnation=2, message=message))
+    def receive(self, message, address="p:0", connection=1):
+        self.feed(
+            PeerMessageReceived(
+                address=address, incarnation=2, connection=connection, message=message
+            )
+        )
 
     def pop_lists(self):
         sent = self.pop(SendToPeer)
@@ -123,6 +127,17 @@
     assert {r.server_id for r in other.core.fleet.records} == {"s0", "s2", "new"}
 
 
+def test_list_over_a_replaced_connection_is_ignored():
+    """Guards against starts on a draining server, by a list that was held up."""
+    other = Owner()
+    other.core.cells.get(0).term = 0
+    draining = attrs.evolve(SERVERS[0], is_draining=True)
+    newer = (draining, *SERVERS[1:])
+    other.receive(ServerListUpdate(servers=newer, is_whole=True), connection=2)
+    other.receive(ServerListUpdate(servers=SERVERS, is_whole=True), connection=1)
+    assert other.core.fleet.by_id["s0"].record.is_draining
+
+
 def test_health_reports_are_sent_and_applied():
     owner, other = Owner(), Owner()
     owner.core.fleet.by_id["s1"].slowness = 4.0
--- a/tests/dispatch/test_request_router.py
+++ b/tests/dispatch/test_request_router.py
@@ -126,6 +126,27 @@
     )
 
 
+def test_outcome_over_a_replaced_connection_answers_the_caller(receiver):
+    """Guards against a repeated job whose outcome a partition held up."""
+    receiver.advance_time(100.0)
+    receiver.submit()
+    (submission,) = receiver.pop_submissions()
+    receiver.feed(
+        PeerMessageReceived(
+            address=OWNER,
+            incarnation=2,
+            connection=2,
+            message=Heartbeat(sent_ms=receiver.now_ms, echo_ms=receiver.now_ms),
+        )
+    )
+    ended = JobEnded(key=submission.key, attempt=1, outcome=Outcome.COMPLETED)
+    receiver.feed(
+        PeerMessageReceived(address=OWNER, incarnation=2, connection=1, message=ended)
+    )
+    (answer,) = receiver.pop(AnswerCaller)
+    assert answer.outcome is Outcome.COMPLETED
+
+
 def test_submission_repeated_over_a_new_connection_names_the_runs_left(receiver):
     """The next owner started tasks that the stopped one had left running."""
     receiver.submit()
--- a/tests/dispatch/test_submissions.py
+++ b/tests/dispatch/test_submissions.py
@@ -3,6 +3,7 @@
 from owner_harness import OwnerHarness
 
 from buckthornshift.dispatch import (
+    DropJob,
     EndReason,
     Heartbeat,
     JobEnded,
@@ -34,8 +35,12 @@
         """Receive a heartbeat from the sender that confirms one sent just now."""
         self.receive(Heartbeat(sent_ms=self.now_ms, echo_ms=self.now_ms))
 
-    def receive(self, message, address=SENDER):
-        self.feed(PeerMessageReceived(address=address, incarnation=2, message=message))
+    def receive(self, message, address=SENDER, connection=1):
+        self.feed(
+            PeerMessageReceived(
+                address=address, incarnation=2, connection=connection, message=message
+            )
+        )
 
     def pop_job_ended(self):
         sent = self.pop(SendToPeer)
@@ -96,6 +101,37 @@
     assert len(owner.pop(StartRun)) == 1
 
 
+def test_submission_over_a_replaced_connection_is_not_started():
+    """Guards against a double run.
+
+    A partition held it up, and its sender may have submitted the job to another owner.
+    """
+    owner = Owner()
+    owner.receive(Heartbeat(sent_ms=1.0, echo_ms=owner.now_ms), connection=2)
+    owner.receive(make_submission(attempt=1), connection=1)
+    assert not owner.pop(StartRun)
+    assert not owner.core.jobs.list_open()
+    owner.receive(make_submission(attempt=2), connection=2)
+    assert len(owner.pop(StartRun)) == 1
+
+
+def test_submission_that_arrives_after_its_cancellation_is_not_started():
+    """Guards against starts of a cancelled job, whose submission was held up."""
+    owner = Owner()
+    owner.receive(Heartbeat(sent_ms=1.0, echo_ms=owner.now_ms), connection=2)
+    owner.receive(DropJob(key=1), connection=2)
+    owner.receive(make_submission(attempt=1), connection=1)
+    assert not owner.pop(StartRun)
+
+
+def test_cancellation_over_a_replaced_connection_ends_the_job():
+    owner = Owner()
+    owner.confirm_contact()
+    owner.receive(make_submission(attempt=1), connection=2)
+    owner.receive(DropJob(key=1), connection=1)
+    assert not owner.core.jobs.list_open()
+
+
 def test_sender_out_of_contact_does_not_join_another_senders_job():
     """Guards against a job that keeps running only for a lost instance.
 
--- a/tests/serving/test_peer_connections.py
+++ b/tests/serving/test_peer_connections.py
@@ -58,6 +58,29 @@
     assert not bad_frames
 
 
+def test_connections_of_a_process_are_numbered_in_order():
+    """A receiver tells what came over a replaced connection from what is current."""
+
+    async def run():
+        events = []
+        server = PeerListener(post=events.append, on_bad_frame=pytest.fail)
+        port = await server.start("127.0.0.1", 0)
+        address = f"127.0.0.1:{port}"
+        identity = DispatchIdentity(address="127.0.0.1:9", incarnation=7)
+        connections = PeerConnections(identity=identity, post=lambda event: None)
+        for number in (1, 2):
+            connections.dial(address)
+            await wait_until(lambda: address in connections._connection_by_address)
+            connections.send(address, DropJob(key=number))
+            await wait_until(lambda n=number: len(events) == n)
+        connections.close()
+        server.close()
+        return events
+
+    events = asyncio.run(run())
+    assert [(e.message.key, e.connection) for e in events] == [(1, 1), (2, 2)]
+
+
 def make_frame(body):
     return struct.pack(">I", len(body)) + body
 
