FIX An owner drops jobs of an instance that reports a loss of contact

The sides measure contact by different heartbeats. Change: heartbeats carry how often their sender has lost contact with the addressee. When the number changes, the owner answers with a heartbeat, and drops the submissions that the sender doesn't repeat within 100 ms.

--- a/buckthornshift/dispatch/_internal_messages.py
+++ b/buckthornshift/dispatch/_internal_messages.py
@@ -32,6 +32,28 @@
     incarnation: int = 0
 
 
+@attrs.frozen(kw_only=True)
+class ContactBroken:
+    """Another instance has lost contact with this one, and may have regained it.
+
+    :param address: address of that instance.
+    :param incarnation: its process.
+    """
+
+    address: str = ""
+    incarnation: int = 0
+
+
+@attrs.frozen(kw_only=True)
+class AbandonmentDue:
+    """Timer: drop submissions whose sender lost contact and did not repeat them.
+
+    :param submissions: each :class:`Submission`.
+    """
+
+    submissions: tuple = ()
+
+
 @attrs.frozen(kw_only=True)
 class PauseDetected:
     """This process was paused; other instances may have taken over its cells.
--- a/buckthornshift/dispatch/_membership.py
+++ b/buckthornshift/dispatch/_membership.py
@@ -16,7 +16,12 @@
 
 from ._actions import DisconnectPeer, LogCode, ReconnectPeer, SendToPeer
 from ._events import InstancesFound, PeerConnected, PeerMessageReceived
-from ._internal_messages import HeartbeatDue, PeerLost, RivalClaimEnded
+from ._internal_messages import (
+    ContactBroken,
+    HeartbeatDue,
+    PeerLost,
+    RivalClaimEnded,
+)
 from ._peer_messages import ConfigurationUpdate, DropJob, Heartbeat, JobEnded
 
 PEER_RETENTION_MS = 10_000.0
@@ -62,6 +67,9 @@
     :param evacuations_sent_ms: when the evacuated zones were last sent to it.
     :param evacuations_sent_version: the version that was sent then.
     :param is_live: whether it is in contact, as it confirmed a heartbeat recently.
+    :param n_losses: how often contact with it was lost.
+    :param n_own_losses: how often it has lost contact with this instance, from its last
+        heartbeat; ``None`` before its first one.
     :param contact_number: sequence number of its last start of contact, among all
         instances.
     :param introduced_ms: when the first heartbeat with the constant fields was sent to
@@ -86,6 +94,8 @@
     evacuations_sent_ms: float = -1e9
     evacuations_sent_version: int = 0
     is_live: bool = False
+    n_losses: int = 0
+    n_own_losses: int | None = None
     contact_number: int = 0
     introduced_ms: float | None = None
     sent_contact_number: int = 0
@@ -288,6 +298,7 @@
             self._dial(peer)
         peer.incarnation = event.incarnation
         peer.connection = 0
+        peer.n_own_losses = None
         peer.heartbeat = Heartbeat()
         peer.servers_digest_by_cell.clear()
         peer.confirmed_sent_ms = peer.introduced_ms = None
@@ -321,6 +332,20 @@
         self.send_evacuations(peer)
         self._send_configuration(peer)
         self._update_liveness(peer)
+        self._check_own_losses(peer)
+
+    def _check_own_losses(self, peer):
+        """Announce that another instance has lost contact with this one.
+
+        This instance may not have noticed: it measures contact by other heartbeats.
+        """
+        former, peer.n_own_losses = peer.n_own_losses, peer.heartbeat.n_losses
+        if former in (None, peer.n_own_losses):
+            return
+        message = ContactBroken(address=peer.address, incarnation=peer.incarnation)
+        self.context.post(message)
+        # It regains contact with this heartbeat, and can repeat its submissions.
+        self._send_heartbeat(peer)
 
     def _send_configuration(self, peer):
         context = self.context
@@ -348,6 +373,7 @@
             self._send_heartbeat(peer)
         elif peer.is_live and not is_live:
             context.log(LogCode.PEER_LOST, peer.address, confirmed_age_ms=round(age_ms))
+            peer.n_losses += 1
             self._mark_lost(peer)
         elif age_ms > PEER_RETENTION_MS + self._choose_loss_timeout(peer):
             self._forget(peer)
@@ -472,6 +498,7 @@
             lag_ms=round(self.get_lag_ms(), 1),
             addresses=self._choose_addresses(peer),
             evacuation_version=self.get_evacuation_version(),
+            n_losses=peer.n_losses,
             **(claims or self.describe_claims()),
         )
         context.emit(SendToPeer(address=peer.address, message=heartbeat))
--- a/buckthornshift/dispatch/_owner_jobs.py
+++ b/buckthornshift/dispatch/_owner_jobs.py
@@ -6,7 +6,9 @@
 from ._admission import JobRefusal
 from ._events import PeerMessageReceived
 from ._internal_messages import (
+    AbandonmentDue,
     ClaimEnded,
+    ContactBroken,
     HousekeepingDue,
     JobDeadline,
     PeerLost,
@@ -17,6 +19,10 @@
 from ._jobs import Submission, TaskPhase, build_job
 from ._peer_messages import DropJob, EndReason, JobEnded, Outcome, SubmitJob
 
+# Time for an instance that lost contact to repeat its submissions, which takes a round
+# trip after it has regained contact.
+ABANDONMENT_DELAY_MS = 100.0
+
 
 class OwnerJobs:
     """Accept submitted jobs, and report one outcome for each of them.
@@ -58,6 +64,8 @@
         return {
             PeerMessageReceived: self.on_received,
             PeerLost: self.on_peer_lost,
+            ContactBroken: self.on_contact_broken,
+            AbandonmentDue: self.on_abandonment,
             JobDeadline: self.on_deadline,
             ClaimEnded: self.on_claim_ended,
             RunReleased: self.on_run_released,
@@ -99,6 +107,29 @@
         if n_dropped:
             self.context.log(LogCode.HOME_LOST, message.address, n_jobs=n_dropped)
 
+    def on_contact_broken(self, message):
+        """Give an instance that lost contact some time to repeat its submissions.
+
+        It submits those that it doesn't repeat to another owner.
+        """
+        process = (message.address, message.incarnation)
+        submissions = tuple(
+            submission
+            for job in self.list_open()
+            for submission in job.submissions
+            if (submission.address, submission.incarnation) == process
+        )
+        if submissions:
+            due = AbandonmentDue(submissions=submissions)
+            self.context.start_timer(ABANDONMENT_DELAY_MS, due)
+
+    def on_abandonment(self, message):
+        """Drop submissions that were not repeated, and end jobs that have none left."""
+        n_dropped = self._drop_submissions(message.submissions.__contains__)
+        if n_dropped:
+            address = message.submissions[0].address
+            self.context.log(LogCode.HOME_LOST, address, n_jobs=n_dropped)
+
     def on_deadline(self, message):
         """End a job shortly before its caller stops waiting."""
         job = self.by_id.get(message.job_id)
--- a/buckthornshift/dispatch/_peer_messages.py
+++ b/buckthornshift/dispatch/_peer_messages.py
@@ -58,6 +58,7 @@
         is in contact with.
     :param addresses: instances in contact with it that were not sent before.
     :param evacuation_version: version of its :class:`Evacuations`.
+    :param n_losses: how often it has lost contact with the addressee's process.
     """
 
     sent_ms: float = 0.0
@@ -79,6 +80,7 @@
     yielded_cells: tuple[int, ...] = ()
     addresses: tuple[str, ...] = ()
     evacuation_version: int = 0
+    n_losses: int = 0
     wire_name: ClassVar[str] = "Beat"
 
     @property
--- a/tests/dispatch/test_submissions.py
+++ b/tests/dispatch/test_submissions.py
@@ -1,5 +1,6 @@
 """Tests of submissions at the owner: repetitions, new attempts, returned jobs."""
 
+import pytest
 from owner_harness import OwnerHarness
 
 from buckthornshift.dispatch import (
@@ -14,8 +15,10 @@
     Resources,
     SendToPeer,
     ServerRecord,
+    StartAnswered,
     StartRun,
     StepSpec,
+    StopRun,
     SubmitJob,
 )
 
@@ -31,9 +34,9 @@
         record = ServerRecord(server_id="s", service="s", capacity=NEED)
         super().__init__(queues=(QUEUE,), servers=(record,))
 
-    def confirm_contact(self):
+    def confirm_contact(self, **fields):
         """Receive a heartbeat from the sender that confirms one sent just now."""
-        self.receive(Heartbeat(sent_ms=self.now_ms, echo_ms=self.now_ms))
+        self.receive(Heartbeat(sent_ms=self.now_ms, echo_ms=self.now_ms, **fields))
 
     def receive(self, message, address=SENDER, connection=1):
         self.feed(
@@ -132,6 +135,28 @@
     assert not owner.core.jobs.list_open()
 
 
+@pytest.mark.parametrize("is_repeated", [False, True])
+def test_job_whose_sender_lost_contact_is_stopped_unless_repeated(is_repeated):
+    """Guards against a double run.
+
+    The sender lost contact for a moment, unnoticed by the owner, and submits the job to
+    another owner once the leases would have expired.
+    """
+    owner = Owner()
+    owner.confirm_contact()
+    owner.receive(make_submission(attempt=1))
+    (start,) = owner.pop(StartRun)
+    owner.feed(StartAnswered(server_id="s", task=start.task, run=1, clock_ms=0))
+    for _ in range(4):
+        owner.now_ms += 50.0
+        owner.confirm_contact(n_losses=1)
+        if is_repeated:
+            owner.receive(make_submission(attempt=2))
+    assert not owner.pop(StartRun)
+    assert bool(owner.core.jobs.list_open()) is is_repeated
+    assert bool(owner.pop(StopRun)) is not is_repeated
+
+
 def test_sender_out_of_contact_does_not_join_another_senders_job():
     """Guards against a job that keeps running only for a lost instance.
 
--- a/tests/load/fleet/test_busy_owner.py
+++ b/tests/load/fleet/test_busy_owner.py
@@ -52,9 +52,11 @@
 def test_without_liveness_check_of_sender_a_task_runs_twice(monkeypatch):
     """Show that the check of the sender is what prevents a second run.
 
-    Load shedding is off, as it keeps the delay of most owners too short for this.
+    Load shedding is off, as it keeps the delay of most owners too short for this. So is
+    the reaction to a loss of contact that the sender reports, which ends such jobs.
     """
     monkeypatch.setattr(LoadShedder, "check", lambda *args: None)
+    monkeypatch.setattr(Membership, "_check_own_losses", lambda self, peer: None)
     with_check = [run_with_slow_events(4.0, seed, load=1.1) for seed in DELAYED_SEEDS]
     accept_from_lost_peers(monkeypatch)
     without_check = [
--- a/tests/proving/fleet/test_held_messages.py
+++ b/tests/proving/fleet/test_held_messages.py
@@ -111,6 +111,28 @@
     run_cuts(cuts, seed)
 
 
+# The new owner loses contact with some instances for a moment, as the interval of
+# heartbeats changes at its claim, and then yields while its runs go on.
+CASES_OF_LOST_CONTACT = [
+    (Cuts(cut_ms=2_300.0, is_one_way=True), 2),
+    (Cuts(cut_ms=1_500.0, cell_servers=6, n_owners=2), 6),
+]
+
+
+@pytest.mark.parametrize(("cuts", "seed"), CASES_OF_LOST_CONTACT)
+def test_contact_that_only_the_sender_lost_does_not_run_a_task_twice(cuts, seed):
+    """An owner kept the job of an instance that had submitted it to another one."""
+    run_cuts(cuts, seed)
+
+
+@pytest.mark.parametrize(("cuts", "seed"), CASES_OF_LOST_CONTACT)
+def test_keeping_jobs_after_a_loss_at_the_sender_is_detected(monkeypatch, cuts, seed):
+    """Mutation: an owner doesn't react when another instance reports a loss."""
+    monkeypatch.setattr(Membership, "_check_own_losses", lambda self, peer: None)
+    with pytest.raises(FleetRuleError, match=FleetRule.ONE_RUN):
+        run_cuts(cuts, seed)
+
+
 def test_reading_replaced_connections_runs_a_task_twice(monkeypatch):
     """Mutation: messages are handled in the order in which they arrive."""
     monkeypatch.setattr(Membership, "is_outdated", lambda self, event: False)
--- a/tests/proving/fleet/test_partition_heals.py
+++ b/tests/proving/fleet/test_partition_heals.py
@@ -177,7 +177,7 @@
 def test_claiming_regained_servers_at_once_is_detected(monkeypatch):
     """Mutation: servers are claimed before the instances on their side are heard."""
     monkeypatch.setattr(Membership, "has_lost_instances", lambda self: False)
-    fleet = HealingFleet(ONE_ZONE, "servers")
+    fleet = HealingFleet(Sides(n_isolated=2), "servers")
     assert len(fleet.list_after_heal(LogCode.OWNER_CLAIMED)) > 1
 
 
