FIX Ignore messages of a process that another one has replaced

Callers would see: a job ended early and run again, and a start that nobody waits for, when an instance was killed and started again during a partition and what its former process had sent arrives after it. Cause: any message with another incarnation than the known one made it the current process of its address: its successor counted as lost, its jobs were dropped, and a late submission was accepted once contact was confirmed. Change: messages of a replaced process are ignored, until a heartbeat confirms one that was sent after the replacement. Only a running process can send that, so a process that was replaced by mistake is accepted again. Result: both tests in test_submissions.py fail before; tests of dispatch, serving and the simulation pass.

--- a/buckthornshift/dispatch/_membership.py
+++ b/buckthornshift/dispatch/_membership.py
@@ -54,6 +54,7 @@
     :param address: ``host:port`` at which it is reached.
     :param incarnation: random number of its process; 0 before its first message.
     :param connection: highest number of the connections over which it has sent.
+    :param replaced_ms_by_incarnation: when its former processes were replaced.
     :param heartbeat: the last :class:`Heartbeat` received.
     :param last_heard_ms: when that was received, or ``None``.
     :param confirmed_sent_ms: send time of the newest own heartbeat that it has
@@ -82,6 +83,7 @@
     address: str = ""
     incarnation: int = 0
     connection: int = 0
+    replaced_ms_by_incarnation: dict = attrs.field(factory=dict)
     heartbeat: Heartbeat = Heartbeat()
     last_heard_ms: float | None = None
     confirmed_sent_ms: float | None = None
@@ -193,23 +195,30 @@
 
         What a process sends over one connection arrives in order. Once it has sent over
         a newer connection, what a partition held up on an older one may contradict what
-        it has done meanwhile: it may have submitted the job to another owner.
+        it has done meanwhile: it may have submitted the job to another owner. The same
+        holds for messages of a process that another one has replaced.
 
         :param event: the :class:`PeerMessageReceived`.
         """
-        if not self._is_replaced_connection(event):
-            return False
-        if isinstance(event.message, MESSAGES_VALID_LATE):
+        peer = self.by_address.get(event.address)
+        if peer is None:
             return False
-        if not isinstance(event.message, Heartbeat):
+        is_former_process = event.incarnation != peer.incarnation
+        if is_former_process:
+            is_outdated = _is_of_former_process(peer, event)
+        else:
+            is_valid_late = isinstance(event.message, MESSAGES_VALID_LATE)
+            is_outdated = event.connection < peer.connection and not is_valid_late
+        if is_outdated and not isinstance(event.message, Heartbeat):
             self.context.log(
                 LogCode.MESSAGE_OUTDATED,
                 event.address,
                 message=type(event.message).__name__,
                 connection=event.connection,
-                newest_connection=self.by_address[event.address].connection,
+                newest_connection=peer.connection,
+                is_former_process=is_former_process,
             )
-        return True
+        return is_outdated
 
     def on_instances_found(self, event):
         """Add and dial instances that are not known yet."""
@@ -277,14 +286,6 @@
             context.log(LogCode.PEER_FOUND, address)
         return peer
 
-    def _is_replaced_connection(self, event):
-        peer = self.by_address.get(event.address)
-        return (
-            peer is not None
-            and event.incarnation == peer.incarnation
-            and event.connection < peer.connection
-        )
-
     def _dial(self, peer):
         peer.last_dial_ms = self.context.now_ms
         peer.n_unanswered_dials += 1
@@ -296,6 +297,8 @@
             context.log(LogCode.PEER_RESTARTED, peer.address, former=peer.incarnation)
             self._mark_lost(peer)
             self._dial(peer)
+            peer.replaced_ms_by_incarnation[peer.incarnation] = context.now_ms
+            peer.replaced_ms_by_incarnation.pop(event.incarnation, None)
         peer.incarnation = event.incarnation
         peer.connection = 0
         peer.n_own_losses = None
@@ -507,3 +510,16 @@
 def _add_constant_fields(heartbeat, previous):
     constant_fields = {name: getattr(previous, name) for name in CONSTANT_FIELDS}
     return attrs.evolve(heartbeat, is_brief=False, **constant_fields)
+
+
+def _is_of_former_process(peer, event):
+    """Return whether a message is of a process that another one has replaced.
+
+    A former process can't have received what was sent to its address since then. One
+    that confirms such a heartbeat is running, and what replaced it was the former one.
+    """
+    replaced_ms = peer.replaced_ms_by_incarnation.get(event.incarnation)
+    if replaced_ms is None:
+        return False
+    echo_ms = event.message.echo_ms if isinstance(event.message, Heartbeat) else -1.0
+    return echo_ms <= replaced_ms
--- a/tests/dispatch/test_submissions.py
+++ b/tests/dispatch/test_submissions.py
@@ -34,14 +34,18 @@
         record = ServerRecord(server_id="s", service="s", capacity=NEED)
         super().__init__(queues=(QUEUE,), servers=(record,))
 
-    def confirm_contact(self, **fields):
+    def confirm_contact(self, incarnation=2, **fields):
         """Receive a heartbeat from the sender that confirms one sent just now."""
-        self.receive(Heartbeat(sent_ms=self.now_ms, echo_ms=self.now_ms, **fields))
+        heartbeat = Heartbeat(sent_ms=self.now_ms, echo_ms=self.now_ms, **fields)
+        self.receive(heartbeat, incarnation=incarnation)
 
-    def receive(self, message, address=SENDER, connection=1):
+    def receive(self, message, address=SENDER, connection=1, incarnation=2):
         self.feed(
             PeerMessageReceived(
-                address=address, incarnation=2, connection=connection, message=message
+                address=address,
+                incarnation=incarnation,
+                connection=connection,
+                message=message,
             )
         )
 
@@ -170,3 +174,35 @@
     assert returned.reason is EndReason.OUT_OF_CONTACT
     (job,) = owner.core.jobs.list_open()
     assert [submission.address for submission in job.submissions] == [SENDER]
+
+
+def test_late_message_of_a_former_process_does_not_end_jobs_of_its_successor():
+    """A partition held it up, and its process was killed and started again."""
+    owner = Owner()
+    late = Heartbeat(sent_ms=1.0, echo_ms=owner.now_ms)
+    owner.confirm_contact(incarnation=2)
+    owner.now_ms += 100.0
+    owner.confirm_contact(incarnation=3)
+    owner.receive(make_submission(attempt=1), incarnation=3)
+    owner.receive(late, incarnation=2)
+    owner.receive(make_submission(attempt=1), incarnation=2)
+    (job,) = owner.core.jobs.list_open()
+    assert [submission.incarnation for submission in job.submissions] == [3]
+    assert owner.core.membership.is_live(SENDER, 3)
+
+
+def test_process_that_was_taken_for_a_former_one_is_accepted_again():
+    """The owner first hears of the former process by a message that was held up."""
+    owner = Owner()
+    owner.confirm_contact(incarnation=3)
+    before_ms = owner.now_ms
+    owner.now_ms += 100.0
+    owner.receive(Heartbeat(sent_ms=1.0, echo_ms=before_ms), incarnation=2)
+    assert not owner.core.membership.is_live(SENDER, 3)
+    owner.receive(Heartbeat(sent_ms=9.0, echo_ms=before_ms), incarnation=3)
+    assert not owner.core.membership.is_live(SENDER, 3)
+    owner.now_ms += 50.0
+    owner.confirm_contact(incarnation=3)
+    assert owner.core.membership.is_live(SENDER, 3)
+    owner.receive(make_submission(attempt=2), incarnation=3)
+    assert len(owner.core.jobs.list_open()) == 1
