FIX An owner reads the list of servers itself if the publisher can't

Cause: a list that can't be refreshed stayed in force without an end, and the other owners could not tell how old it was. Evidence: store_lost for the servers' topic at the owner of the first cell alone; server_draining on no instance before that one reads again (docs/incidents/ list-with-one-reader.md). Change: heartbeats and lists carry the age of the list. An owner whose list is over 1,000 ms old reads the store itself, and sends an outdated publisher what it reads. The oracle checks each instance that reads the store, during faults as well. Without a fault one instance reads the list as before; the cost is that of the fault (docs/design/18-cells.md weighs it). One mutation test lets the owner rely on its list, as reading it prevents the double run that it waits for.

--- a/buckthornshift/dispatch/_events.py
+++ b/buckthornshift/dispatch/_events.py
@@ -90,10 +90,22 @@
 
     :param servers: the complete list.
     :param unreadable_ids: ids of the servers whose entries can't be read.
+    :param age_ms: time since the read was sent.
     """
 
     servers: tuple[ServerRecord, ...] = ()
     unreadable_ids: tuple[str, ...] = ()
+    age_ms: float = 0.0
+
+
+@attrs.frozen(kw_only=True)
+class ServersConfirmed:
+    """The list of backend servers was read from the store and has not changed.
+
+    :param age_ms: time since the read was sent.
+    """
+
+    age_ms: float = 0.0
 
 
 @attrs.frozen(kw_only=True)
--- a/buckthornshift/dispatch/_fleet.py
+++ b/buckthornshift/dispatch/_fleet.py
@@ -24,6 +24,7 @@
         self.context = context
         self.by_id = {}
         self.records = ()
+        self._digest = None
         self._evacuated_zones = frozenset()
         self._by_id_by_cell = [{}]
         self._services = None
@@ -41,6 +42,7 @@
 
     def remove(self, server):
         """Remove a server from the fleet and its cell."""
+        self._digest = None
         self.by_id.pop(server.id, None)
         self._by_id_by_cell[server.cell].pop(server.id, None)
 
@@ -70,6 +72,7 @@
         :returns: lists of added, changed and newly unlisted servers.
         """
         added, changed, unlisted = [], [], []
+        self._digest = None
         record_by_id = {record.server_id: record for record in records}
         self.records = tuple(records)
         for server_id, record in record_by_id.items():
@@ -112,14 +115,16 @@
 
     def digest(self):
         """Return a checksum of the list, to compare it with that of other instances."""
-        return sum(
-            server.hash
-            + server.record.is_draining
-            + server.record.capacity.cpu
-            + server.record.started_ms
-            for server in self.by_id.values()
-            if server.unlisted_since_ms is None
-        ) % (2**HASH_BITS)
+        if self._digest is None:
+            self._digest = sum(
+                server.hash
+                + server.record.is_draining
+                + server.record.capacity.cpu
+                + server.record.started_ms
+                for server in self.by_id.values()
+                if server.unlisted_since_ms is None
+            ) % (2**HASH_BITS)
+        return self._digest
 
     def compute_cell_digest(self, cell):
         """Return a checksum of the servers of a cell on which tasks may run.
--- a/buckthornshift/dispatch/_list_publisher.py
+++ b/buckthornshift/dispatch/_list_publisher.py
@@ -46,6 +46,8 @@
         self.membership = membership
         self.cells = cells
         self.server_speeds = server_speeds
+        self.find_outdated_publisher = lambda: None
+        self.get_list_age_ms = lambda: -1.0
         self._sent_record_by_id = {}
         self._sent_incarnation_by_address = {}
         self._list_sent_ms_by_address = {}
@@ -66,7 +68,11 @@
     def on_claim_ended(self, message):
         """Reset what was sent, as the next owner sends its own list."""
         if message.cell == LIST_CELL:
-            self._sent_incarnation_by_address.clear()
+            self.forget_recipients()
+
+    def forget_recipients(self):
+        """Reset to whom the list was sent."""
+        self._sent_incarnation_by_address.clear()
 
     def on_possible_loss(self, message):
         """Send the whole list again to an instance that may have missed messages."""
@@ -78,13 +84,21 @@
 
     def publish(self):
         """Send changes, whole lists and health reports where they are due."""
-        if self.cells.is_owner_of(LIST_CELL):
-            self._send_changes()
-            self._send_lists()
+        recipients = self._find_recipients()
+        if recipients:
+            self._send_changes(recipients)
+            self._send_lists(recipients)
         if self.cells.is_owner:
             self._send_health_reports()
 
-    def _send_changes(self):
+    def _find_recipients(self):
+        """Return the instances to which this one sends the list now."""
+        if self.cells.is_owner_of(LIST_CELL):
+            return self.membership.list_live()
+        publisher = self.find_outdated_publisher()
+        return [] if publisher is None else [publisher]
+
+    def _send_changes(self, recipients):
         record_by_id = {
             server.id: server.record
             for server in self.fleet.by_id.values()
@@ -97,15 +111,17 @@
         gone_ids = tuple(i for i in sent_by_id if i not in record_by_id)
         self._sent_record_by_id = record_by_id
         self._changed_ms = self.context.now_ms
-        message = ServerListUpdate(servers=changed, gone_ids=gone_ids)
-        for peer in self.membership.list_live():
+        message = ServerListUpdate(
+            servers=changed, gone_ids=gone_ids, age_ms=self.get_list_age_ms()
+        )
+        for peer in recipients:
             if self._has_list(peer):
                 self._send(peer, message)
 
-    def _send_lists(self):
+    def _send_lists(self, candidates):
         recipients = []
         digest = self.fleet.digest()
-        for peer in self.membership.list_live():
+        for peer in candidates:
             if not (peer.heartbeat.claims or self.membership.is_hub(peer.address)):
                 self._sent_incarnation_by_address.pop(peer.address, None)
             elif not self._has_list(peer) or self._has_different_list(peer, digest):
@@ -118,6 +134,7 @@
             servers=tuple(server.record for server in servers),
             gone_ids=tuple(s.id for s in servers if s.unlisted_since_ms is not None),
             is_whole=True,
+            age_ms=self.get_list_age_ms(),
         )
         for peer in recipients[:MAX_LISTS_PER_HEARTBEAT]:
             self._sent_incarnation_by_address[peer.address] = peer.incarnation
--- a/buckthornshift/dispatch/_membership.py
+++ b/buckthornshift/dispatch/_membership.py
@@ -142,6 +142,7 @@
         self.has_all_owners = lambda: False
         self.get_lag_ms = lambda: 0.0
         self.get_evacuation_version = lambda: 0
+        self.get_list_age_ms = lambda: -1.0
         self.send_evacuations = lambda peer: None
         self._all_cells_owned = False
         self._hubs = None
@@ -502,6 +503,7 @@
             addresses=self._choose_addresses(peer),
             evacuation_version=self.get_evacuation_version(),
             n_losses=peer.n_losses,
+            list_age_ms=self.get_list_age_ms(),
             **(claims or self.describe_claims()),
         )
         context.emit(SendToPeer(address=peer.address, message=heartbeat))
--- a/buckthornshift/dispatch/_peer_messages.py
+++ b/buckthornshift/dispatch/_peer_messages.py
@@ -59,6 +59,8 @@
     :param addresses: instances in contact with it that were not sent before.
     :param evacuation_version: version of its :class:`Evacuations`.
     :param n_losses: how often it has lost contact with the addressee's process.
+    :param list_age_ms: for how long the store may have had another list of servers, if
+        the sender reads the list itself; -1 otherwise.
     """
 
     sent_ms: float = 0.0
@@ -81,6 +83,7 @@
     addresses: tuple[str, ...] = ()
     evacuation_version: int = 0
     n_losses: int = 0
+    list_age_ms: float = -1.0
     wire_name: ClassVar[str] = "Beat"
 
     @property
@@ -244,11 +247,13 @@
     :param servers: the whole list, or its new and changed entries.
     :param gone_ids: servers that are no longer listed; some may still run tasks.
     :param is_whole: whether ``servers`` is the whole list.
+    :param age_ms: for how long the store may have had another list; -1 if unknown.
     """
 
     servers: tuple[ServerRecord, ...] = ()
     gone_ids: tuple[str, ...] = ()
     is_whole: bool = False
+    age_ms: float = -1.0
     wire_name: ClassVar[str] = "ServersShared"
 
 
--- a/buckthornshift/proving/fleet/_evacuation_watch.py
+++ b/buckthornshift/proving/fleet/_evacuation_watch.py
@@ -52,17 +52,19 @@
         world.clock.schedule(SAMPLE_INTERVAL_MS, self._sample)
 
     def _can_know(self, instance):
-        if not self._is_responsive(instance):
+        if not is_responsive(self.world, instance):
             return False
         return self.world.store.can_read(instance) or any(
             other is not instance
-            and self._is_responsive(other)
+            and is_responsive(self.world, other)
             and self.world.store.can_read(other)
             and self.world.network.are_connected(instance, other)
             for other in self.world.instances
         )
 
-    def _is_responsive(self, instance):
-        lag_ms = len(instance.inbox) * self.world.plan.event_ms
-        is_running = instance.core is not None and not instance.is_frozen
-        return is_running and lag_ms <= MAX_LAG_MS
+
+def is_responsive(world, instance):
+    """Return whether the process of an instance runs and reads what has arrived."""
+    lag_ms = len(instance.inbox) * world.plan.event_ms
+    is_running = instance.core is not None and not instance.is_frozen
+    return is_running and lag_ms <= MAX_LAG_MS
--- a/buckthornshift/proving/fleet/_faults.py
+++ b/buckthornshift/proving/fleet/_faults.py
@@ -157,6 +157,7 @@
                 if server.record.is_draining:
                     drain_start_ms = world.oracle.drain_start_ms_by_server
                     drain_start_ms.setdefault(server.name, world.clock.now_ms)
+                    world.drain_watch.record_drain(server.name)
                 self._schedule_end(fault, world.add_server, server.zone, server.index)
             case FleetFault.SERVER_ADDED:
                 world.add_server(server.zone, fault.target)
--- a/buckthornshift/proving/fleet/_oracle.py
+++ b/buckthornshift/proving/fleet/_oracle.py
@@ -24,7 +24,8 @@
     - ``BUDGET``: a task that crashes its servers is soon given up.
     - ``CAPACITY``: the tasks on a server never need more than it has.
     - ``ONE_RUN``: a task never runs on two servers at the same time.
-    - ``DRAINING``: no task starts on a server that has been draining for long.
+    - ``DRAINING``: no task starts on a server that has been draining for long; during
+      faults, no instance that can read the store starts one there.
     - ``EVACUATED``: an instance that can know that a zone has been evacuated for long
       starts no task there.
     - ``RIGHT_SERVER``: a server has the service and the label that a task requires.
@@ -188,13 +189,19 @@
         self._check_placement(server, run, observed)
 
     def check_start_command(self, instance, command):
-        """Check that an instance may send a start command to a server's zone."""
+        """Check that an instance may send a start command to a server, in its zone."""
         zone = command.server.zone
         if self.world.evacuation_watch.must_know(instance, zone):
             self._raise_violation(
                 FleetRule.EVACUATED,
                 f"{instance.name} starts {command.task} in {zone}",
             )
+        server_id = command.server.server_id
+        if self.world.drain_watch.must_know(instance, server_id):
+            self._raise_violation(
+                FleetRule.DRAINING,
+                f"{instance.name} starts {command.task} on {server_id}",
+            )
 
     def record_crash(self, server):
         """Record that a server crashes under the tasks that run on it."""
--- a/buckthornshift/proving/fleet/_store.py
+++ b/buckthornshift/proving/fleet/_store.py
@@ -65,7 +65,7 @@
             event = ConfigurationRead(configuration=self.configuration)
             self._deliver(instance, key, event)
             if instance.is_watching_servers or not instance.core.fleet.by_id:
-                event = ServersRead(servers=self.list_servers())
+                event = ServersRead(servers=self.list_servers(), age_ms=DELAY_MS)
                 self._deliver(instance, key, event)
         self.world.clock.schedule(POLL_INTERVAL_MS, self.poll, instance, key)
 
--- a/buckthornshift/proving/fleet/_world.py
+++ b/buckthornshift/proving/fleet/_world.py
@@ -24,6 +24,7 @@
 )
 from ...standins import TaskServerModel
 from .._clock import VirtualClock
+from ._drain_watch import DrainWatch
 from ._evacuation_watch import EvacuationWatch
 from ._machines import SimulatedInstance, SimulatedServer
 from ._network import FleetNetwork
@@ -61,6 +62,7 @@
         self.oracle = FleetOracle(world=self)
         self.observer = self.oracle
         self.evacuation_watch = EvacuationWatch(world=self)
+        self.drain_watch = DrainWatch(world=self)
         self.instances = [
             SimulatedInstance(name=f"n{i}:1", zone=self._get_zone(i))
             for i in range(plan.n_instances)
--- a/buckthornshift/serving/_store_watcher.py
+++ b/buckthornshift/serving/_store_watcher.py
@@ -9,6 +9,7 @@
     InstancesFound,
     LogCode,
     LogLine,
+    ServersConfirmed,
     ServersRead,
 )
 from ..platform import (
@@ -23,6 +24,7 @@
     decode_configuration,
     decode_server,
 )
+from ._settings import read_monotonic_ms
 
 # Long-poll wait. A configuration must be in force 2 s after the store acknowledged it,
 # even if the connection has gone silent, so this wait and the timeout of one call
@@ -122,19 +124,22 @@
         """
         servers = _ServerList(log=self.log)
         while not servers.list():
-            batch = await self._retry(SERVERS_TOPIC, self._read_newest)
-            servers.apply(batch)
-            self.post(servers.make_event())
+            await self._read_all_servers(servers)
             await asyncio.sleep(SERVERS_INTERVAL_S)
 
     async def _watch_servers(self):
         while True:
-            batch = await self._retry(SERVERS_TOPIC, self._read_newest)
             servers = _ServerList(log=self.log)
-            servers.apply(batch)
-            self.post(servers.make_event())
+            offset = await self._read_all_servers(servers)
             with contextlib.suppress(HistoryGoneError):
-                await self._tail_servers(servers, batch.next_offset)
+                await self._tail_servers(servers, offset)
+
+    async def _read_all_servers(self, servers):
+        """Read and post the whole list; return the offset to read on from."""
+        batch, sent_ms = await self._retry_timed(SERVERS_TOPIC, self._read_newest)
+        servers.apply(batch)
+        self.post(servers.make_event(age_ms=read_monotonic_ms() - sent_ms))
+        return batch.next_offset
 
     async def _tail_servers(self, servers, offset):
         async def read(topic):
@@ -142,10 +147,22 @@
 
         while True:
             await asyncio.sleep(SERVERS_INTERVAL_S)
-            batch = await self._retry(SERVERS_TOPIC, read)
+            batch, sent_ms = await self._retry_timed(SERVERS_TOPIC, read)
             offset = batch.next_offset
+            age_ms = read_monotonic_ms() - sent_ms
             if servers.apply(batch):
-                self.post(servers.make_event())
+                self.post(servers.make_event(age_ms=age_ms))
+            else:
+                self.post(ServersConfirmed(age_ms=age_ms))
+
+    async def _retry_timed(self, topic, call):
+        """Repeat a call until it succeeds; return when that one was sent as well."""
+
+        async def call_timed(topic):
+            sent_ms = read_monotonic_ms()
+            return await call(topic), sent_ms
+
+        return await self._retry(topic, call_timed)
 
     async def _read_newest(self, topic):
         return await self.client.read_newest(topic)
@@ -211,10 +228,15 @@
         """Return a :class:`~buckthornshift.dispatch.ServerRecord` for each server."""
         return tuple(self._server_by_id.values())
 
-    def make_event(self):
-        """Return a :class:`~buckthornshift.dispatch.ServersRead` with the list."""
+    def make_event(self, age_ms=0.0):
+        """Return a :class:`~buckthornshift.dispatch.ServersRead` with the list.
+
+        :param age_ms: time since the read was sent.
+        """
         return ServersRead(
-            servers=self.list(), unreadable_ids=tuple(sorted(self._unreadable_ids))
+            servers=self.list(),
+            unreadable_ids=tuple(sorted(self._unreadable_ids)),
+            age_ms=age_ms,
         )
 
     def _apply_record(self, record):
--- a/tests/dispatch/test_list_publisher.py
+++ b/tests/dispatch/test_list_publisher.py
@@ -67,7 +67,10 @@
     owner.advance_time(200.0)
     ((address, message),) = owner.pop_lists()
     assert address == "p:0"
-    assert message == ServerListUpdate(servers=SERVERS, is_whole=True)
+    assert message == ServerListUpdate(
+        servers=SERVERS, is_whole=True, age_ms=message.age_ms
+    )
+    assert message.age_ms >= 0.0
     owner.advance_time(10_000.0)
     assert owner.pop_lists() == []
 
@@ -90,7 +93,7 @@
     draining = attrs.evolve(SERVERS[0], is_draining=True)
     owner.feed(ServersRead(servers=(draining, *SERVERS[1:])))
     ((_, message),) = owner.pop_lists()
-    assert message == ServerListUpdate(servers=(draining,))
+    assert message == ServerListUpdate(servers=(draining,), age_ms=0.0)
 
 
 def test_list_is_sent_again_over_new_connection():
--- a/tests/proving/fleet/test_cells_runs.py
+++ b/tests/proving/fleet/test_cells_runs.py
@@ -46,3 +46,16 @@
 def test_regression_seed(seed):
     result = run_cells_seed(seed, kinds=FORMER_KINDS)
     assert result.violation is None, result.detail
+
+
+# Instances are cut off from the store in turn while servers drain. With each of these
+# seeds an owner that could read the store started a task on a draining server: it got
+# the list from an instance that could not, or from one that became the publisher later.
+READER_KINDS = [FleetFault.STORE_PARTITION, FleetFault.SERVER_DRAIN]
+READER_SEEDS = (20, 23, 59, 74, 130, 184)
+
+
+@pytest.mark.parametrize("seed", READER_SEEDS)
+def test_owner_that_reaches_the_store_knows_which_servers_drain(seed):
+    result = run_cells_seed(seed, kinds=2 * READER_KINDS, n_faults=7)
+    assert result.violation is None, result.detail
--- a/tests/proving/fleet/test_fleet_seeds.py
+++ b/tests/proving/fleet/test_fleet_seeds.py
@@ -7,6 +7,7 @@
 
 from buckthornshift.dispatch._cells import Cells
 from buckthornshift.dispatch._leases import LeaseManager
+from buckthornshift.dispatch._list_follower import ListFollower
 from buckthornshift.dispatch._membership import Membership
 from buckthornshift.dispatch._request_router import RequestRouter
 from buckthornshift.proving.fleet import (
@@ -108,7 +109,8 @@
     """Mutation: the servers that the former owner claimed are not compared.
 
     A new server gets tasks before the instances in contact have heard of it. Losses of
-    contact that another instance reports are ignored, as they would end the job.
+    contact that another instance reports are ignored, as they would end the job, and so
+    is the age of a list, as the next owner would read the new one first.
     """
 
     def claim_and_use(self, message):
@@ -116,6 +118,7 @@
             self.claims.claim(server)
 
     monkeypatch.setattr(Membership, "_check_own_losses", lambda self, peer: None)
+    monkeypatch.setattr(ListFollower, "compute_age_ms", lambda self: 0.0)
     monkeypatch.setattr(LeaseManager, "on_servers_added", claim_and_use)
     monkeypatch.setattr(Cells, "find_servers_digest", lambda self, address, cell: None)
     assert run_fleet_seed(92).violation is FleetRule.ONE_RUN
--- a/tests/serving/test_store_watcher.py
+++ b/tests/serving/test_store_watcher.py
@@ -1,8 +1,13 @@
-"""The watcher follows evacuations and configuration in the operators' topic."""
+"""The watcher follows the operators' topic and the list of servers."""
 
 import asyncio
 
-from buckthornshift.dispatch import Configuration, ConfigurationRead, EvacuationsRead
+from buckthornshift.dispatch import (
+    Configuration,
+    ConfigurationRead,
+    EvacuationsRead,
+    ServersConfirmed,
+)
 from buckthornshift.platform import CONFIGURATION_TOPIC, StoreClient
 from buckthornshift.platform._server_side import encode_configuration
 from buckthornshift.serving._http_client import HttpConnectionPool
@@ -42,6 +47,9 @@
     def list_evacuations(self):
         return [e for e in self.events if isinstance(e, EvacuationsRead)]
 
+    def list_confirmations(self):
+        return [e for e in self.events if isinstance(e, ServersConfirmed)]
+
     async def wait_for_zones(self, *zones):
         async with asyncio.timeout(MAX_WAIT_S):
             while [e.zones for e in self.list_evacuations()][-1:] != [zones]:
@@ -126,3 +134,32 @@
 
     events = run_with_store(use).list_evacuations()
     assert [event.version for event in events] == [2, 5]
+
+
+def test_list_that_has_not_changed_is_confirmed():
+    """The age of the list tells the other owners whether they can rely on it."""
+
+    async def use(watched):
+        watched.watcher.watch_servers(True)
+        async with asyncio.timeout(MAX_WAIT_S):
+            while len(watched.list_confirmations()) < 2:
+                await asyncio.sleep(0.01)
+
+    watched = run_with_store(use)
+    for event in watched.list_confirmations():
+        assert 0.0 <= event.age_ms < 300.0
+
+
+def test_list_is_not_confirmed_while_the_store_does_not_answer():
+    async def use(watched):
+        watched.watcher.watch_servers(True)
+        async with asyncio.timeout(MAX_WAIT_S):
+            while not watched.list_confirmations():
+                await asyncio.sleep(0.01)
+        watched.store.faults.is_away = True
+        await asyncio.sleep(0.1)
+        n_before = len(watched.list_confirmations())
+        await asyncio.sleep(0.8)
+        assert len(watched.list_confirmations()) == n_before
+
+    run_with_store(use)
