FIX Refuse server entries and jobs with numbers beyond the limits of messages

Operators would see: after one odd entry of another program no instance is sent the list of servers or its changes any longer; with a number of 400 digits every job fails on arrival; actions behind a message that can't be encoded, such as starts and answers, are dropped. Cause: numbers in the platform's documents were unbounded, though messages take 64 bits and estimates a float. One failed action ended those of its event, and an unexpected error would have ended a watch of the store without a line in the log. Change: limits for the documents of servers and jobs (amounts, times, texts, an IP address); a failed action is logged and the next one performed; a watch is started again after an unexpected error.

--- a/buckthornshift/platform/_documents.py
+++ b/buckthornshift/platform/_documents.py
@@ -1,5 +1,8 @@
 """Decode the JSON documents of the platform: configuration, server entries, jobs."""
 
+import ipaddress
+from typing import Annotated
+
 import attrs
 import msgspec
 
@@ -52,37 +55,46 @@
     limits: _Limits = _Limits()
 
 
+# Other programs write these documents as well. Numbers are bounded so that sums of them
+# fit into the messages between instances and into a float, texts so that a list of
+# servers stays short.
+_Amount = Annotated[int, msgspec.Meta(ge=0, le=2**31 - 1)]
+_EpochMs = Annotated[int, msgspec.Meta(ge=0, le=2**53 - 1)]
+_DurationMs = Annotated[float, msgspec.Meta(le=86_400_000.0)]
+_ShortText = Annotated[str, msgspec.Meta(max_length=255)]
+
+
 class _Capacity(msgspec.Struct, rename="pascal"):
     # In thousandths of a core.
-    cpu: int
-    mem_mb: int
-    gpu: int = 0
+    cpu: _Amount
+    mem_mb: _Amount
+    gpu: _Amount = 0
 
 
 class _Server(msgspec.Struct, rename="pascal"):
-    service: str
-    address: str
-    zone: str
+    service: _ShortText
+    address: _ShortText
+    zone: _ShortText
     state: str
     capacity: _Capacity
-    labels: list[str] = []
+    labels: Annotated[list[_ShortText], msgspec.Meta(max_length=64)] = []
     # Start of the server's process, in milliseconds since the epoch.
-    born: int = msgspec.field(name="born", default=0)
-    cold_left_ms: float = 0.0
+    born: _EpochMs = msgspec.field(name="born", default=0)
+    cold_left_ms: _DurationMs = 0.0
 
 
 class _Step(msgspec.Struct, rename="pascal"):
     task_count: int = 1
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
-    estimate_ms: float = 0.0
+    cpu: _Amount = 0
+    mem_mb: _Amount = 0
+    gpu: _Amount = 0
+    estimate_ms: _DurationMs = 0.0
     after: list[int] = []
     requires: str = ""
     data_rack: str = ""
     # Maximum number of tasks of this step on one server. The name suggests a pair of
     # steps to keep apart, but that is not what the value means.
-    anti_affinity: int = 0
+    anti_affinity: _Amount = 0
     gang: bool = False
     long_running: bool = False
     fills: bool = False
@@ -153,14 +165,11 @@
     """
     server = _decode(_SERVER_DECODER, body)
     host, _, port = server.address.rpartition(":")
-    # The id is sent in a header, and the host is resolved.
-    if not _is_plain(server_id) or not _is_plain(host):
+    # The id is sent in a header. A name would have to be resolved.
+    if not _is_plain(server_id) or not _is_ip_address(host):
         raise UnreadableError(f"id {server_id[:40]!r}, address {server.address!r}")
     if not _is_port(port) or server.state not in _SERVER_STATES:
         raise UnreadableError(f"state {server.state!r}, address {server.address!r}")
-    capacity = server.capacity
-    if min(capacity.cpu, capacity.mem_mb, capacity.gpu, server.born) < 0:
-        raise UnreadableError("expected a capacity and a start that are not negative")
     return ServerRecord(
         server_id=server_id,
         service=server.service,
@@ -207,6 +216,14 @@
     return bool(text) and all("!" <= char <= "~" for char in text)
 
 
+def _is_ip_address(text):
+    try:
+        ipaddress.ip_address(text)
+    except ValueError:
+        return False
+    return True
+
+
 def _is_port(text):
     is_number = text.isascii() and text.isdigit() and len(text) <= MAX_PORT_DIGITS
     return is_number and 0 < int(text) <= MAX_PORT
@@ -257,8 +274,8 @@
             f"{n_tasks} tasks: expected at most {MAX_TASKS_PER_JOB} in a job"
         )
     for number, step in enumerate(job.steps):
-        if step.task_count < 1 or min(step.cpu, step.mem_mb, step.gpu) < 0:
-            raise UnreadableError(f"step {number}: expected tasks and amounts >= 0")
+        if step.task_count < 1:
+            raise UnreadableError(f"step {number}: expected at least one task")
         if any(not 0 <= dependency < number for dependency in step.after):
             raise UnreadableError(f"step {number}: expected earlier steps in After")
 
--- a/buckthornshift/serving/_peer_connections.py
+++ b/buckthornshift/serving/_peer_connections.py
@@ -207,7 +207,7 @@
                 _, connection = await loop.create_connection(
                     _OutgoingConnection, host, int(port)
                 )
-        except (OSError, TimeoutError, ValueError):
+        except (OSError, TimeoutError, ValueError, OverflowError):
             # The core repeats the attempt until it hears from the instance.
             return
         self._n_connections += 1
--- a/buckthornshift/serving/_process.py
+++ b/buckthornshift/serving/_process.py
@@ -132,19 +132,27 @@
         except Exception as error:
             # One event that can't be handled must not end the process, or stop the
             # events behind it.
-            frame = traceback.extract_tb(error.__traceback__)[-1]
-            self.write_log(
-                LogLine(
-                    code=LogCode.EVENT_FAILED,
-                    subject=type(event).__name__,
-                    fields={
-                        "detail": repr(error),
-                        "raised_in": f"{frame.name}:{frame.lineno}",
-                    },
-                )
-            )
+            self._log_unexpected_error(event, error)
             self._set_timer()
 
+    def _log_unexpected_error(self, cause, error):
+        """Log an error that no part of the program expects.
+
+        :param cause: the event or the action that could not be handled.
+        :param error: the exception.
+        """
+        frame = traceback.extract_tb(error.__traceback__)[-1]
+        self.write_log(
+            LogLine(
+                code=LogCode.EVENT_FAILED,
+                subject=type(cause).__name__,
+                fields={
+                    "detail": repr(error),
+                    "raised_in": f"{frame.name}:{frame.lineno}",
+                },
+            )
+        )
+
     def stop(self):
         """Begin a graceful shutdown; :meth:`wait` returns once it is complete."""
         self._job_api.server.begin_graceful_close()
@@ -266,7 +274,11 @@
 
     def _perform_all(self, actions):
         for action in actions:
-            self._perform(action)
+            try:
+                self._perform(action)
+            except Exception as error:
+                # The core has recorded the actions behind it as performed.
+                self._log_unexpected_error(action, error)
         self._set_timer()
 
     def _perform(self, action):
--- a/buckthornshift/serving/_store_watcher.py
+++ b/buckthornshift/serving/_store_watcher.py
@@ -58,9 +58,12 @@
     def start(self):
         """Watch the configuration and announce this instance to the others."""
         self._tasks = [
-            asyncio.ensure_future(self._watch_configuration()),
-            asyncio.ensure_future(self._announce_and_find_instances()),
-            asyncio.ensure_future(self._wait_for_servers()),
+            asyncio.ensure_future(self._keep_running(watch))
+            for watch in (
+                self._watch_configuration,
+                self._announce_and_find_instances,
+                self._wait_for_servers,
+            )
         ]
 
     def watch_servers(self, is_on):
@@ -72,7 +75,9 @@
             self._servers_task.cancel()
             self._servers_task = None
         if is_on:
-            self._servers_task = asyncio.ensure_future(self._watch_servers())
+            self._servers_task = asyncio.ensure_future(
+                self._keep_running(self._watch_servers)
+            )
 
     def close(self):
         """Cancel every task of the watcher."""
@@ -80,6 +85,26 @@
         for task in self._tasks:
             task.cancel()
 
+    async def _keep_running(self, watch):
+        """Run a watch, and start it again after an unexpected error.
+
+        An instance that stopped watching would use what it has read without an end.
+
+        :param watch: coroutine function that reads the store.
+        """
+        while True:
+            try:
+                await watch()
+                return
+            except Exception as error:
+                fields = {"detail": repr(error)}
+                self.log(
+                    LogLine(
+                        code=LogCode.EVENT_FAILED, subject=watch.__name__, fields=fields
+                    )
+                )
+                await asyncio.sleep(RETRY_INTERVAL_S)
+
     async def _watch_configuration(self):
         while True:
             with contextlib.suppress(HistoryGoneError):
@@ -247,9 +272,9 @@
             return previous is not None
         try:
             server = decode_server(record.key, record.value)
-        except UnreadableError as error:
-            # Other programs write entries as well. The former entry of the server may
-            # no longer be true.
+        except Exception as error:
+            # Other programs write entries as well, so that any error is one of this
+            # entry alone. The former entry of the server may no longer be true.
             self._server_by_id.pop(record.key, None)
             self._unreadable_ids.add(record.key)
             _log_ignored_record(self.log, SERVERS_TOPIC, record.key, error)
--- a/tests/platform/test_platform_documents.py
+++ b/tests/platform/test_platform_documents.py
@@ -80,6 +80,67 @@
         decode_server("i", body)
 
 
+def with_raw(name, value):
+    """Return an entry in which a field has a value in raw JSON."""
+    body = encode(SERVER | {name: "RAW"})
+    return body.replace(b'"RAW"', value)
+
+
+NESTED = b"[" * 50_000 + b"]" * 50_000
+HUGE = b"1" + b"0" * 400
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        with_raw("Unknown", NESTED),
+        with_raw("Capacity", NESTED),
+        with_raw("Labels", b"[" + NESTED + b"]"),
+        b'{"Capacity":' * 50_000 + b"1" + b"}" * 50_000,
+        encode(SERVER | {"Capacity": {"Cpu": 2**31, "MemMb": 1}}),
+        encode(SERVER | {"Capacity": {"Cpu": 2**64, "MemMb": 1}}),
+        encode(SERVER | {"Capacity": {"Cpu": 1, "MemMb": 2**64}}),
+        encode(SERVER | {"Capacity": {"Cpu": 1, "MemMb": 1, "Gpu": 2**64}}),
+        with_raw("Capacity", b'{"MemMb":1,"Cpu":' + HUGE + b"}"),
+        with_raw("born", HUGE),
+        encode(SERVER | {"born": 2**64}),
+        with_raw("ColdLeftMs", HUGE),
+        with_raw("ColdLeftMs", b"1e999"),
+        encode(SERVER | {"ColdLeftMs": 1e300}),
+        encode(SERVER | {"Address": "10.0.0.9:0"}),
+        encode(SERVER | {"Address": "10.0.0.9:-1"}),
+        encode(SERVER | {"Address": "10.0.0.9:65536"}),
+        encode(SERVER | {"Address": f"10.0.0.9:{2**64}"}),
+        encode(SERVER | {"Address": "10.0.0.999:80"}),
+        encode(SERVER | {"Address": "server..example:80"}),
+        encode(SERVER | {"Address": "a" * 300 + ":80"}),
+        encode(SERVER | {"Zone": "z" * 100_000}),
+        encode(SERVER | {"Labels": ["x"] * 1_000}),
+        with_raw("Zone", b'"\\ud800"'),
+    ],
+)
+def test_an_odd_server_entry_is_rejected(body):
+    """Entries of other programs ended the readers of the list, or stopped them."""
+    with pytest.raises(UnreadableError):
+        decode_server("i", body)
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"Cpu": 2**64},
+        {"MemMb": 2**64},
+        {"Gpu": -1},
+        {"EstimateMs": 1e300},
+        {"AntiAffinity": 2**64},
+    ],
+)
+def test_a_job_with_odd_numbers_is_rejected(change):
+    """Its submission could not be sent to the owner."""
+    with pytest.raises(UnreadableError):
+        decode_job(JOB_ID, encode({"Steps": [STEP | change], "BestEffort": True}))
+
+
 def test_a_server_id_that_does_not_fit_in_a_header_is_rejected():
     with pytest.raises(UnreadableError):
         decode_server("i\r\nHost: x", encode(SERVER))
--- a/tests/serving/test_process.py
+++ b/tests/serving/test_process.py
@@ -4,6 +4,7 @@
 import random
 import socket
 import struct
+from types import SimpleNamespace
 
 import attrs
 import pytest
@@ -12,12 +13,15 @@
 from buckthornshift.dispatch import (
     CellClaim,
     DispatchIdentity,
+    DropJob,
     EvacuationsRead,
     Heartbeat,
     JobEnded,
     JobSpec,
     LogCode,
+    LogLine,
     Queue,
+    SendToPeer,
     ServerListUpdate,
     ServerRecord,
     StepSpec,
@@ -83,7 +87,10 @@
     Heartbeat(sent_ms=float("nan"), echo_ms=float("inf"), n_cells=0),
     Heartbeat(sent_ms=1.0, n_cells=1, claims=(CellClaim(cell=-1, term=-1),)),
     Heartbeat(sent_ms=2.0, n_cells=3, claims=(CellClaim(cell=10**9),)),
-    Heartbeat(sent_ms=3.0, addresses=("nowhere", "", "a:b:c", "127.0.0.1:x")),
+    Heartbeat(
+        sent_ms=3.0,
+        addresses=("nowhere", "", "a:b:c", "127.0.0.1:x", "127.0.0.1:99999"),
+    ),
     ServerListUpdate(servers=(ServerRecord(),), gone_ids=("?",), is_whole=True),
 ]
 
@@ -156,6 +163,29 @@
     assert "KeyError" in failure.fields["detail"]
 
 
+def test_an_action_that_fails_does_not_stop_the_actions_behind_it():
+    """The core has recorded them as performed, such as the start of a task."""
+
+    async def run():
+        process, lines = await start_process()
+        actions = [
+            SendToPeer(address="127.0.0.1:9", message=DropJob(key=2**64)),
+            LogLine(code=LogCode.STARTED, subject="behind it"),
+        ]
+        connection = SimpleNamespace(send=print, close=lambda: None)
+        process._peer_connections._connection_by_address["127.0.0.1:9"] = connection
+        process._perform_all(actions)
+        await check_serves(process)
+        process._stopped.set()
+        await process.wait()
+        return lines
+
+    lines = asyncio.run(run())
+    assert any(line.subject == "behind it" for line in lines)
+    (failure,) = [line for line in lines if line.code is LogCode.EVENT_FAILED]
+    assert failure.subject == "SendToPeer"
+
+
 def test_a_request_that_waits_in_its_socket_at_the_exit_is_answered():
     """Closing a connection with unread data resets it without an answer."""
 
--- a/tests/serving/test_server_list.py
+++ b/tests/serving/test_server_list.py
@@ -5,6 +5,7 @@
 import pytest
 
 from buckthornshift.platform import KeyedBatch, KeyedRecord
+from buckthornshift.serving import _store_watcher
 from buckthornshift.serving._store_watcher import _ServerList
 
 ENTRY = {
@@ -36,3 +37,19 @@
     assert [server.server_id for server in event.servers] == ["a"]
     assert event.unreadable_ids == ()
     assert make_list(("a", value), ("a", b"")).make_event().unreadable_ids == ()
+
+
+def test_error_that_nobody_expects_in_an_entry_is_one_of_that_entry(monkeypatch):
+    """Guards against a reader that stops following the list."""
+    decode = _store_watcher.decode_server
+
+    def fail_on_one(server_id, body):
+        if server_id == "b":
+            raise KeyError("unexpected")
+        return decode(server_id, body)
+
+    monkeypatch.setattr(_store_watcher, "decode_server", fail_on_one)
+    good = json.dumps(ENTRY).encode()
+    event = make_list(("a", good), ("b", good), ("c", good)).make_event()
+    assert [server.server_id for server in event.servers] == ["a", "c"]
+    assert event.unreadable_ids == ("b",)
--- a/tests/serving/test_store_watcher.py
+++ b/tests/serving/test_store_watcher.py
@@ -10,6 +10,7 @@
 )
 from buckthornshift.platform import CONFIGURATION_TOPIC, StoreClient
 from buckthornshift.platform._server_side import encode_configuration
+from buckthornshift.serving import _store_watcher
 from buckthornshift.serving._http_client import HttpConnectionPool
 from buckthornshift.serving._store_watcher import StoreWatcher
 from buckthornshift.standins._fleet_platform import StoreStandin
@@ -163,3 +164,24 @@
         assert len(watched.list_confirmations()) == n_before
 
     run_with_store(use)
+
+
+def test_watch_goes_on_after_an_error_that_nobody_expects(monkeypatch):
+    """An instance that stopped watching would use an old configuration for ever."""
+    decode = _store_watcher.decode_configuration
+    failures = []
+
+    def fail_once(body):
+        if not failures:
+            failures.append(body)
+            raise KeyError("unexpected")
+        return decode(body)
+
+    async def use(watched):
+        await watched.wait_for_configuration(1)
+        monkeypatch.setattr(_store_watcher, "decode_configuration", fail_once)
+        watched.put_configuration(2)
+        await watched.wait_for_configuration(2)
+
+    run_with_store(use)
+    assert failures
