ENH A new owner waits for its first read only if its list is over 1,600 ms old

Cause: 1,000 ms, the age at which an owner begins to read the store, delayed the first starts after some usual elections: the list is confirmed until the former owner is lost, 450 ms before the claim at least. Change: the read begins at 1,000 ms as before; starts wait for it from 1,600 ms on. The read that follows the claim at once leaves 400 ms of the 2 s that are allowed.

--- a/buckthornshift/dispatch/_list_follower.py
+++ b/buckthornshift/dispatch/_list_follower.py
@@ -19,6 +19,8 @@
 # Age of the list at which an owner reads the store itself. A server that leaves must
 # get no more tasks 2 s after the store recorded it.
 MAX_LIST_AGE_MS = 1_000.0
+# Age at which a new owner waits for its first read. It is read at once then.
+MAX_LIST_AGE_AT_START_MS = 1_600.0
 # Age at which it relies on the publisher again. The list is polled every 300 ms, and it
 # takes two heartbeats to confirm its age.
 RELIABLE_LIST_AGE_MS = 600.0
@@ -110,7 +112,7 @@
         age_ms = self.context.now_ms - self.cells.get(cell).claimed_ms
         if age_ms >= MAX_LIST_WAIT_MS:
             return False
-        if self.compute_age_ms() > MAX_LIST_AGE_MS:
+        if self.compute_age_ms() > MAX_LIST_AGE_AT_START_MS:
             return True
         if not self.may_be_stale or self.cells.is_owner_of(LIST_CELL):
             return False
