ENH fuzz --on held-cells: partitions hold messages up, as TCP does

Change: a world of fuzz whose partitions hold messages up and deliver them after, also those of processes that have ended; four seeds are tests.

--- a/buckthornshift/cli/_fuzz.py
+++ b/buckthornshift/cli/_fuzz.py
@@ -11,6 +11,7 @@
     run_busy_fleet_seed,
     run_cells_seed,
     run_fleet_seed,
+    run_held_cells_seed,
 )
 from ._output import ExitCode, echo_json, output_option
 
@@ -35,6 +36,7 @@
     "claims": FuzzTarget(run=run_seed, fault_kinds=FaultKind),
     "fleet": FuzzTarget(run=run_fleet_seed, fault_kinds=FleetFault),
     "cells": FuzzTarget(run=run_cells_seed, fault_kinds=FleetFault),
+    "held-cells": FuzzTarget(run=run_held_cells_seed, fault_kinds=FleetFault),
     "busy-fleet": FuzzTarget(run=run_busy_fleet_seed, fault_kinds=FleetFault),
 }
 
@@ -50,6 +52,7 @@
         "System to simulate. claims: entry instances that claim jobs in the log; "
         "fleet: dispatching instances that own servers; "
         "cells: fleet with the servers divided into cells; "
+        "held-cells: cells, where what a partition holds up arrives after it; "
         "busy-fleet: fleet where every event takes processor time."
     ),
 )
--- a/buckthornshift/proving/fleet/__init__.py
+++ b/buckthornshift/proving/fleet/__init__.py
@@ -16,6 +16,7 @@
     run_cells_seed,
     run_fleet_plan,
     run_fleet_seed,
+    run_held_cells_seed,
 )
 from ._world import FleetWorld
 
@@ -38,4 +39,5 @@
     "run_cells_seed",
     "run_fleet_plan",
     "run_fleet_seed",
+    "run_held_cells_seed",
 ]
--- a/buckthornshift/proving/fleet/_runner.py
+++ b/buckthornshift/proving/fleet/_runner.py
@@ -56,12 +56,23 @@
 MAX_ADDED_SERVERS = 4
 
 
-def run_cells_seed(seed, kinds=None, n_faults=None):
+def run_held_cells_seed(seed, kinds=None, n_faults=None):
+    """Run one seed on cells, with partitions that hold messages up, as TCP does.
+
+    :param seed: the seed; it also selects the settings of the cells.
+    :param kinds: fault kinds to draw from; ``None`` for all.
+    :param n_faults: number of faults; ``None`` to draw it.
+    """
+    return run_cells_seed(seed, kinds, n_faults, holds_cut_messages=True)
+
+
+def run_cells_seed(seed, kinds=None, n_faults=None, holds_cut_messages=False):
     """Run one seed on servers that are divided into cells.
 
     :param seed: the seed; it also selects the settings of the cells.
     :param kinds: fault kinds to draw from; ``None`` for all.
     :param n_faults: number of faults; ``None`` to draw it.
+    :param holds_cut_messages: whether partitions hold messages between instances up.
     """
     plan = draw_fleet_plan(random.Random(seed), seed, kinds, n_faults)
     random_state = random.Random(seed + 1)
@@ -85,6 +96,7 @@
         n_instances=n_instances,
         n_servers=n_servers,
         faults=(*plan.faults, *added_servers),
+        holds_cut_messages=holds_cut_messages,
     )
     return run_fleet_plan(plan, settings)
 
--- a/tests/proving/fleet/test_cells_runs.py
+++ b/tests/proving/fleet/test_cells_runs.py
@@ -2,7 +2,11 @@
 
 import pytest
 
-from buckthornshift.proving.fleet import FleetFault, run_cells_seed
+from buckthornshift.proving.fleet import (
+    FleetFault,
+    run_cells_seed,
+    run_held_cells_seed,
+)
 
 # The kinds that the regression seeds draw their faults from.
 NEWER_KINDS = (
@@ -59,3 +63,19 @@
 def test_owner_that_reaches_the_store_knows_which_servers_drain(seed):
     result = run_cells_seed(seed, kinds=2 * READER_KINDS, n_faults=7)
     assert result.violation is None, result.detail
+
+
+PARTITION_KINDS = [
+    FleetFault.INSTANCE_PARTITION,
+    FleetFault.ZONE_PARTITION,
+    FleetFault.ONE_WAY_PARTITION,
+    FleetFault.INSTANCE_CRASH,
+    FleetFault.CALLERS_DISCONNECT,
+]
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_partitions_that_hold_messages_up(seed):
+    """What a process sent arrives after the partition, also if it ended meanwhile."""
+    result = run_held_cells_seed(seed, kinds=PARTITION_KINDS, n_faults=8)
+    assert result.violation is None, result.detail
