FIX Repeat submissions to an owner that reports a loss of contact

Cause: the two sides measure contact by different heartbeats; only a new connection made an instance repeat its submissions. Change: the number of losses in the owner's heartbeats makes it repeat them too.

--- a/buckthornshift/dispatch/_request_router.py
+++ b/buckthornshift/dispatch/_request_router.py
@@ -12,6 +12,7 @@
 from ._internal_messages import (
     CallerDeadline,
     CellsChanged,
+    ContactBroken,
     OwnerChanged,
     PeerLost,
     ResubmitDue,
@@ -111,7 +112,8 @@
             CellsChanged: self.on_owner_changed,
             PeerLost: self.on_peer_lost,
             ResubmitDue: self.on_resubmit_due,
-            PeerConnected: self.on_peer_connected,
+            PeerConnected: self.on_possible_loss,
+            ContactBroken: self.on_possible_loss,
             PeerMessageReceived: self.on_received,
             SubmissionEnded: self.on_submission_ended,
         }
@@ -185,12 +187,15 @@
             request.declined_by = None
             self._route(request)
 
-    def on_peer_connected(self, event):
-        """Repeat submissions that may have been lost with the former connection.
+    def on_possible_loss(self, event):
+        """Repeat submissions that an owner may have lost.
 
-        They count as possibly run: the owner may have started the job, lost contact
-        with this instance and forgotten the job. Runs that a former owner handed over
-        may go on as well.
+        They may have been lost with the former connection, or with the contact that
+        the owner reports as broken. They count as possibly run: the owner may have
+        started the job before it lost contact and forgot the job. Runs that a former
+        owner handed over may go on as well.
+
+        :param event: the :class:`PeerConnected` or :class:`ContactBroken`.
         """
         for request in self.by_key.values():
             if request.owner is not None and request.owner[0] == event.address:
--- a/tests/dispatch/test_request_router.py
+++ b/tests/dispatch/test_request_router.py
@@ -147,6 +147,23 @@
     assert answer.outcome is Outcome.COMPLETED
 
 
+def test_submission_is_repeated_when_the_owner_lost_contact(receiver):
+    """The owner dropped the job, and the caller waited until its deadline."""
+    receiver.advance_time(100.0)
+    receiver.submit()
+    (first,) = receiver.pop_submissions()
+    heartbeat = Heartbeat(
+        sent_ms=receiver.now_ms + 1.0,
+        echo_ms=receiver.now_ms,
+        claims=(CellClaim(term=TERM_BY_ADDRESS[OWNER], n_owned=1),),
+        n_losses=1,
+    )
+    receiver.receive(heartbeat)
+    (repeat,) = receiver.pop_submissions()
+    assert (repeat.key, repeat.attempt) == (first.key, first.attempt)
+    assert repeat.is_resent
+
+
 def test_submission_repeated_over_a_new_connection_names_the_runs_left(receiver):
     """The next owner started tasks that the stopped one had left running."""
     receiver.submit()
