--- a/buckthornshift/dispatch/_list_publisher.py
+++ b/buckthornshift/dispatch/_list_publisher.py
@@ -1,7 +1,8 @@
 """Distribution of the server list and of server health to other instances.
 
 The owner of the first cell follows the list in the store. It sends the whole list once
-to the owners of other cells and to the hubs, and then only changes.
+to the owners of other cells and to the hubs, and then only changes. While it can't read
+the store, an owner of another cell that can sends it the list in the same way.
 """
 
 from ._actions import SendToPeer
