FIX The state of an odd server entry doesn't fill the log

Operators would see: a log line of 200 KB each time that another writer renews an entry with such a state. Cause: the state was the only text of the entry without a limit, and the error quotes it. Change: it has the limit of the other texts. A new test puts four odd entries (deep nesting, 2^64, 400 digits, port 65536) into a store, reads it with a watcher, and passes what it reads to an owner: neither the events nor the messages to another instance name the entry, and the reader follows the next change.

--- a/buckthornshift/platform/_documents.py
+++ b/buckthornshift/platform/_documents.py
@@ -75,7 +75,7 @@
     service: _ShortText
     address: _ShortText
     zone: _ShortText
-    state: str
+    state: _ShortText
     capacity: _Capacity
     labels: Annotated[list[_ShortText], msgspec.Meta(max_length=64)] = []
     # Start of the server's process, in milliseconds since the epoch.
--- a/tests/platform/test_platform_documents.py
+++ b/tests/platform/test_platform_documents.py
@@ -125,6 +125,14 @@
         decode_server("i", body)
 
 
+@pytest.mark.parametrize("name", ["Service", "Address", "Zone", "State"])
+def test_error_of_an_odd_server_entry_is_short(name):
+    """It is logged each time that its writer renews the entry."""
+    with pytest.raises(UnreadableError) as raised:
+        decode_server("i", encode(SERVER | {name: "x" * 200_000}))
+    assert len(str(raised.value)) < 1_000
+
+
 @pytest.mark.parametrize(
     "change",
     [
--- a/tests/serving/test_store_watcher.py
+++ b/tests/serving/test_store_watcher.py
@@ -1,21 +1,35 @@
 """The watcher follows the operators' topic and the list of servers."""
 
 import asyncio
+import json
+import random
+
+import pytest
 
 from buckthornshift.dispatch import (
     Configuration,
     ConfigurationRead,
+    DispatchCore,
+    DispatchIdentity,
     EvacuationsRead,
+    Heartbeat,
+    PeerMessageReceived,
+    SendToPeer,
+    ServerListUpdate,
     ServersConfirmed,
+    ServersRead,
+    TimeAdvanced,
 )
-from buckthornshift.platform import CONFIGURATION_TOPIC, StoreClient
+from buckthornshift.platform import CONFIGURATION_TOPIC, SERVERS_TOPIC, StoreClient
 from buckthornshift.platform._server_side import encode_configuration
 from buckthornshift.serving import _store_watcher
 from buckthornshift.serving._http_client import HttpConnectionPool
+from buckthornshift.serving._peer_connections import CODEC
 from buckthornshift.serving._store_watcher import StoreWatcher
 from buckthornshift.standins._fleet_platform import StoreStandin
 
 MAX_WAIT_S = 2.0
+WALL_MS = 1.8e12
 
 
 class WatchedStore:
@@ -48,6 +62,18 @@
     def list_evacuations(self):
         return [e for e in self.events if isinstance(e, EvacuationsRead)]
 
+    def list_reads(self):
+        return [e for e in self.events if isinstance(e, ServersRead)]
+
+    async def wait_for_capacity(self, cpu):
+        async with asyncio.timeout(MAX_WAIT_S):
+            while not any(
+                server.capacity.cpu == cpu
+                for event in self.list_reads()[-1:]
+                for server in event.servers
+            ):
+                await asyncio.sleep(0.01)
+
     def list_confirmations(self):
         return [e for e in self.events if isinstance(e, ServersConfirmed)]
 
@@ -185,3 +211,69 @@
 
     run_with_store(use)
     assert failures
+
+
+def send_to_instance(events):
+    """Return the messages that an owner sends another instance as it reads the list."""
+    core = DispatchCore(
+        identity=DispatchIdentity(address="o:1", incarnation=1),
+        random_state=random.Random(1),
+    )
+    now_ms = 0.0
+    actions = core.start(now_ms, WALL_MS)
+    configuration = ConfigurationRead(configuration=Configuration(version=1))
+    for event in (configuration, *events):
+        actions += core.handle(event, now_ms, WALL_MS + now_ms)
+        for _ in range(20):
+            now_ms += 50.0
+            heartbeat = Heartbeat(sent_ms=now_ms, echo_ms=now_ms)
+            received = PeerMessageReceived(
+                address="p:1", incarnation=2, message=heartbeat
+            )
+            for other in (received, TimeAdvanced()):
+                actions += core.handle(other, now_ms, WALL_MS + now_ms)
+    return [action.message for action in actions if isinstance(action, SendToPeer)]
+
+
+def make_entry(**fields):
+    entry = {
+        "Service": "cash",
+        "Address": "10.0.0.9:8080",
+        "Zone": "z",
+        "State": "ready",
+        "Capacity": {"Cpu": 16_000, "MemMb": 32_768},
+    }
+    return json.dumps(entry | fields).encode()
+
+
+ODD_ENTRIES = {
+    "nested": make_entry()[:-1] + b',"Odd":' + b"[" * 50_000 + b"]" * 50_000 + b"}",
+    "number": make_entry(Capacity={"Cpu": 2**64, "MemMb": 1}),
+    "digits": make_entry(Capacity={"Cpu": 10**400, "MemMb": 1}),
+    "port": make_entry(Address="10.0.0.9:65536"),
+}
+
+
+@pytest.mark.parametrize("name", ODD_ENTRIES)
+def test_odd_entry_stops_neither_the_reader_nor_reaches_other_instances(name):
+    """Operators saw instances that ended again and again, or stopped following."""
+
+    async def use(watched):
+        watched.store.put(SERVERS_TOPIC, "good", make_entry())
+        watched.store.put(SERVERS_TOPIC, "odd", ODD_ENTRIES[name])
+        watched.watcher.watch_servers(True)
+        await watched.wait_for_capacity(16_000)
+        # It is written again and again, as an entry of a server is.
+        watched.store.put(SERVERS_TOPIC, "odd", ODD_ENTRIES[name])
+        shrunk = make_entry(Capacity={"Cpu": 8_000, "MemMb": 1})
+        watched.store.put(SERVERS_TOPIC, "good", shrunk)
+        await watched.wait_for_capacity(8_000)
+
+    events = run_with_store(use).list_reads()
+    assert {s.server_id for e in events for s in e.servers} == {"good"}
+    messages = send_to_instance(events)
+    lists = [m for m in messages if isinstance(m, ServerListUpdate)]
+    assert {r.server_id for m in lists for r in m.servers} == {"good"}
+    assert lists[-1].servers[0].capacity.cpu == 8_000
+    for message in messages:
+        assert b"odd" not in CODEC.encode(message)
