MNT Who reads the server list is a module of its own

Change: ListReader has the ages and the decision; ListFollower applies what arrives. No behaviour changes.

--- a/buckthornshift/dispatch/_core.py
+++ b/buckthornshift/dispatch/_core.py
@@ -31,6 +31,7 @@
 from ._leases import LeaseManager
 from ._list_follower import ListFollower
 from ._list_publisher import ListPublisher
+from ._list_reader import ListReader
 from ._load_shedding import LoadShedder
 from ._membership import Membership
 from ._overload_cost import CostOrder
@@ -215,12 +216,20 @@
             cells=self.cells,
             server_speeds=self.server_speeds,
         )
+        self.list_reader = ListReader(
+            context=context,
+            fleet=self.fleet,
+            membership=self.membership,
+            cells=self.cells,
+            list_publisher=self.list_publisher,
+        )
         self.list_follower = ListFollower(
             context=context,
             fleet=self.fleet,
             membership=self.membership,
             cells=self.cells,
             list_publisher=self.list_publisher,
+            list_reader=self.list_reader,
             server_speeds=self.server_speeds,
         )
         self.claim_coverage = ClaimCoverage(
@@ -275,6 +284,7 @@
             self.membership,
             self.cells,
             self.evacuation_tracker,
+            self.list_reader,
             self.list_follower,
             self.lease_manager,
             self.incarnations,
--- a/buckthornshift/dispatch/_placement_report.py
+++ b/buckthornshift/dispatch/_placement_report.py
@@ -32,6 +32,7 @@
     "lease_manager",
     "list_follower",
     "list_publisher",
+    "list_reader",
     "load_shedder",
     "membership",
     "request_router",
--- a/tests/dispatch/test_list_follower.py
+++ b/tests/dispatch/test_list_follower.py
@@ -8,12 +8,9 @@
     PeerMessageReceived,
     ServerListUpdate,
 )
-from buckthornshift.dispatch._list_follower import (
-    MAX_LIST_AGE_MS,
-    MAX_LIST_WAIT_MS,
-    ListFollower,
-)
+from buckthornshift.dispatch._list_follower import MAX_LIST_WAIT_MS
 from buckthornshift.dispatch._list_publisher import LIST_CELL
+from buckthornshift.dispatch._list_reader import MAX_LIST_AGE_MS, ListReader
 from buckthornshift.proving.fleet import (
     FleetPlan,
     FleetRule,
@@ -80,7 +77,7 @@
 
 
 def test_owner_reads_the_store_while_the_publisher_cannot():
-    """An owner in touch started tasks on draining servers for 5 s."""
+    """An owner that could read the store started tasks on draining servers for 5 s."""
     fleet = Fleet()
     fleet.cut_off(fleet.publisher)
     server_id = fleet.drain(cell=1)
@@ -172,6 +169,6 @@
 
 def test_an_owner_that_relies_on_the_publisher_is_detected(monkeypatch):
     """Mutation: no owner reads the store in place of the publisher."""
-    monkeypatch.setattr(ListFollower, "_update_reading", lambda self: None)
+    monkeypatch.setattr(ListReader, "_update_reading", lambda self: None)
     with pytest.raises(FleetRuleError, match=FleetRule.DRAINING):
         run_with_cut_publisher(seed=1)
--- a/tests/proving/fleet/test_fleet_seeds.py
+++ b/tests/proving/fleet/test_fleet_seeds.py
@@ -7,7 +7,7 @@
 
 from buckthornshift.dispatch._cells import Cells
 from buckthornshift.dispatch._leases import LeaseManager
-from buckthornshift.dispatch._list_follower import ListFollower
+from buckthornshift.dispatch._list_reader import ListReader
 from buckthornshift.dispatch._membership import Membership
 from buckthornshift.dispatch._request_router import RequestRouter
 from buckthornshift.proving.fleet import (
@@ -118,7 +118,7 @@
             self.claims.claim(server)
 
     monkeypatch.setattr(Membership, "_check_own_losses", lambda self, peer: None)
-    monkeypatch.setattr(ListFollower, "compute_age_ms", lambda self: 0.0)
+    monkeypatch.setattr(ListReader, "compute_age_ms", lambda self: 0.0)
     monkeypatch.setattr(LeaseManager, "on_servers_added", claim_and_use)
     monkeypatch.setattr(Cells, "find_servers_digest", lambda self, address, cell: None)
     assert run_fleet_seed(92).violation is FleetRule.ONE_RUN
