MNT Which messages are superseded is a module of its own

Cause: _membership.py detected lost instances and judged the order of messages; _hand_over of the simulated network has nothing to do with the hand-over of jobs. Change: MessageOrder judges; the state stays in Peer. _pass_to_target; a connection's number is named so. No behaviour changes.

--- a/buckthornshift/dispatch/_core.py
+++ b/buckthornshift/dispatch/_core.py
@@ -34,6 +34,7 @@
 from ._list_reader import ListReader
 from ._load_shedding import LoadShedder
 from ._membership import Membership
+from ._message_order import MessageOrder
 from ._overload_cost import CostOrder
 from ._owner_jobs import OwnerJobs
 from ._peer_messages import ConfigurationUpdate, EvacuationUpdate
@@ -107,7 +108,7 @@
         self._set_time(now_ms, wall_ms)
         self._fire_timers()
         is_drained = isinstance(event, TimeAdvanced)
-        if not self._is_outdated(event):
+        if not self._is_superseded(event):
             self.context.post(InputDrained() if is_drained else event)
         return self._process_messages(is_drained)
 
@@ -146,13 +147,14 @@
             "counters": attrs.asdict(context.counters),
         }
 
-    def _is_outdated(self, event):
+    def _is_superseded(self, event):
         is_message = isinstance(event, PeerMessageReceived)
-        return is_message and self.membership.is_outdated(event)
+        return is_message and self.message_order.is_superseded(event)
 
     def _build_components(self):
         context = self.context
         self.membership = Membership(context=context)
+        self.message_order = MessageOrder(context=context, membership=self.membership)
         self.fleet = Fleet(context=context)
         self.cells = Cells(
             context=context, membership=self.membership, fleet=self.fleet
--- a/buckthornshift/dispatch/_membership.py
+++ b/buckthornshift/dispatch/_membership.py
@@ -22,7 +22,7 @@
     PeerLost,
     RivalClaimEnded,
 )
-from ._peer_messages import ConfigurationUpdate, DropJob, Heartbeat, JobEnded
+from ._peer_messages import ConfigurationUpdate, Heartbeat
 
 PEER_RETENTION_MS = 10_000.0
 CONFIGURATION_RESEND_MS = 1_000.0
@@ -40,9 +40,6 @@
 MAX_ADDRESSES_PER_HEARTBEAT = 64
 # Only the uptime of processes that have just started matters.
 MAX_SENT_UPTIME_MS = 5_000.0
-# Messages that name one attempt of a submission, or a submission that has ended. They
-# are true whenever they are read.
-MESSAGES_VALID_LATE = (JobEnded, DropJob)
 # Fields of a heartbeat that change only when the settings are reloaded.
 CONSTANT_FIELDS = ("born_ms", "power", "name", "zone")
 
@@ -191,36 +188,6 @@
         """Whether this instance is a hub."""
         return self.is_hub(self.context.identity.address)
 
-    def is_outdated(self, event):
-        """Return whether a message must not be handled, as it arrived out of order.
-
-        What a process sends over one connection arrives in order. Once it has sent over
-        a newer connection, what a partition held up on an older one may contradict what
-        it has done meanwhile: it may have submitted the job to another owner. The same
-        holds for messages of a process that another one has replaced.
-
-        :param event: the :class:`PeerMessageReceived`.
-        """
-        peer = self.by_address.get(event.address)
-        if peer is None:
-            return False
-        is_former_process = event.incarnation != peer.incarnation
-        if is_former_process:
-            is_outdated = _is_of_former_process(peer, event)
-        else:
-            is_valid_late = isinstance(event.message, MESSAGES_VALID_LATE)
-            is_outdated = event.connection < peer.connection and not is_valid_late
-        if is_outdated and not isinstance(event.message, Heartbeat):
-            self.context.log(
-                LogCode.MESSAGE_OUTDATED,
-                event.address,
-                message=type(event.message).__name__,
-                connection=event.connection,
-                newest_connection=peer.connection,
-                is_former_process=is_former_process,
-            )
-        return is_outdated
-
     def on_instances_found(self, event):
         """Add and dial instances that are not known yet."""
         self.has_instance_list = self.has_instance_list or event.is_complete
@@ -512,16 +479,3 @@
 def _add_constant_fields(heartbeat, previous):
     constant_fields = {name: getattr(previous, name) for name in CONSTANT_FIELDS}
     return attrs.evolve(heartbeat, is_brief=False, **constant_fields)
-
-
-def _is_of_former_process(peer, event):
-    """Return whether a message is of a process that another one has replaced.
-
-    A former process can't have received what was sent to its address since then. One
-    that confirms such a heartbeat is running, and what replaced it was the former one.
-    """
-    replaced_ms = peer.replaced_ms_by_incarnation.get(event.incarnation)
-    if replaced_ms is None:
-        return False
-    echo_ms = event.message.echo_ms if isinstance(event.message, Heartbeat) else -1.0
-    return echo_ms <= replaced_ms
--- a/buckthornshift/dispatch/_placement_report.py
+++ b/buckthornshift/dispatch/_placement_report.py
@@ -35,6 +35,7 @@
     "list_reader",
     "load_shedder",
     "membership",
+    "message_order",
     "request_router",
     "runs",
     "scheduler",
--- a/buckthornshift/proving/fleet/_network.py
+++ b/buckthornshift/proving/fleet/_network.py
@@ -209,7 +209,7 @@
         if link.held_messages:
             link.held_messages.append(message)
         elif self.can_reach(instance, target):
-            self._hand_over(link, target, message)
+            self._pass_to_target(link, target, message)
         elif self.world.plan.holds_cut_messages:
             link.held_messages.append(message)
             self._schedule_repeat(instance, link, FIRST_REPEAT_MS)
@@ -232,7 +232,7 @@
             return
         messages, link.held_messages = link.held_messages, []
         for message in messages:
-            self._hand_over(link, target, message)
+            self._pass_to_target(link, target, message)
 
     def _find_target(self, link):
         """Return the instance at the end of a link, if its process has not ended."""
@@ -241,7 +241,7 @@
         target = self.world.find_instance(link.target_key[0])
         return target if target is not None and target.key == link.target_key else None
 
-    def _hand_over(self, link, target, message):
+    def _pass_to_target(self, link, target, message):
         address, incarnation = link.source_key
         event = PeerMessageReceived(
             address=address,
--- a/buckthornshift/serving/_peer_connections.py
+++ b/buckthornshift/serving/_peer_connections.py
@@ -79,7 +79,7 @@
         self._buffer = bytearray()
         self._address = None
         self._incarnation = 0
-        self._number = 0
+        self._connection_number = 0
 
     def connection_made(self, transport):
         self._transport = transport
@@ -121,7 +121,7 @@
         event = PeerMessageReceived(
             address=self._address,
             incarnation=self._incarnation,
-            connection=self._number,
+            connection=self._connection_number,
             message=message,
         )
         self._listener.post(event)
@@ -138,7 +138,9 @@
         self._address = address.decode("ascii")
         self._incarnation = incarnation
         if len(frame) >= address_end + _CONNECTION_NUMBER.size:
-            (self._number,) = _CONNECTION_NUMBER.unpack_from(frame, address_end)
+            (self._connection_number,) = _CONNECTION_NUMBER.unpack_from(
+                frame, address_end
+            )
 
 
 class PeerConnections:
--- a/tests/proving/fleet/test_held_messages.py
+++ b/tests/proving/fleet/test_held_messages.py
@@ -9,6 +9,7 @@
 
 from buckthornshift.dispatch import DispatchSettings, JobSpec, Resources, StepSpec
 from buckthornshift.dispatch._membership import Membership
+from buckthornshift.dispatch._message_order import MessageOrder
 from buckthornshift.proving.fleet import (
     FleetPlan,
     FleetRule,
@@ -135,6 +136,6 @@
 
 def test_reading_replaced_connections_runs_a_task_twice(monkeypatch):
     """Mutation: messages are handled in the order in which they arrive."""
-    monkeypatch.setattr(Membership, "is_outdated", lambda self, event: False)
+    monkeypatch.setattr(MessageOrder, "is_superseded", lambda self, event: False)
     with pytest.raises(FleetRuleError, match=FleetRule.ONE_RUN):
         run_cuts(*CASES[2])
