MNT One class tracks what simulated instances must know

Cause: the watch of draining servers repeated that of evacuated zones, and took a function from it that belongs to neither. Change: NoticeWatch has the common part; EvacuationWatch and DrainWatch say who can know, and by when. The checks are the same.

--- a/buckthornshift/proving/fleet/_store.py
+++ b/buckthornshift/proving/fleet/_store.py
@@ -44,7 +44,7 @@
         self.evacuations = Evacuations(
             version=self._operators_offset, zones=tuple(sorted(zones))
         )
-        self.world.evacuation_watch.record_change(zones)
+        self.world.evacuation_watch.record(zones)
 
     def can_read(self, instance):
         """Return whether an instance runs and can read the store."""
--- a/buckthornshift/proving/fleet/_world.py
+++ b/buckthornshift/proving/fleet/_world.py
@@ -24,10 +24,9 @@
 )
 from ...standins import TaskServerModel
 from .._clock import VirtualClock
-from ._drain_watch import DrainWatch
-from ._evacuation_watch import EvacuationWatch
 from ._machines import SimulatedInstance, SimulatedServer
 from ._network import FleetNetwork
+from ._notice_watch import DrainWatch, EvacuationWatch
 from ._oracle import FleetOracle
 from ._server_restarts import ServerRestarts
 from ._store import SimulatedStore
--- a/tests/proving/fleet/test_evacuation_runs.py
+++ b/tests/proving/fleet/test_evacuation_runs.py
@@ -11,7 +11,7 @@
     run_fleet_plan,
     run_fleet_seed,
 )
-from buckthornshift.proving.fleet._evacuation_watch import EvacuationWatch
+from buckthornshift.proving.fleet._notice_watch import EvacuationWatch
 
 N_INSTANCES = 5
 CUT_MS = 2_500.0
