--- a/tests/dispatch/test_odd_entries.py
+++ b/tests/dispatch/test_odd_entries.py
@@ -15,18 +15,20 @@
     Resources,
     SendToPeer,
     ServerListUpdate,
+    ServerRecord,
     StepSpec,
 )
 from buckthornshift.platform import decode_server
+from buckthornshift.platform._server_side import encode_server
 from buckthornshift.serving._peer_connections import CODEC, MAX_FRAME_BYTES
 
-ENTRY = {
-    "Service": "cash",
-    "Address": "10.0.0.9:8080",
-    "Zone": "z",
-    "State": "ready",
-    "Capacity": {"Cpu": 16000, "MemMb": 32768},
-}
+SERVER = ServerRecord(
+    service="cash",
+    host="10.0.0.9",
+    port=8080,
+    capacity=Resources(cpu=16_000, memory_mb=32_768),
+)
+ENTRY = json.loads(encode_server(SERVER))
 QUEUE = Queue(name="q", service="cash", max_attempts=3, stretch=2.0, target_ms=60.0)
 STEP = StepSpec(n_tasks=2, need=Resources(cpu=5_000, memory_mb=1), estimate_ms=50.0)
 LARGEST = {
--- a/tests/serving/test_store_watcher.py
+++ b/tests/serving/test_store_watcher.py
@@ -14,14 +14,16 @@
     EvacuationsRead,
     Heartbeat,
     PeerMessageReceived,
+    Resources,
     SendToPeer,
     ServerListUpdate,
+    ServerRecord,
     ServersConfirmed,
     ServersRead,
     TimeAdvanced,
 )
 from buckthornshift.platform import CONFIGURATION_TOPIC, SERVERS_TOPIC, StoreClient
-from buckthornshift.platform._server_side import encode_configuration
+from buckthornshift.platform._server_side import encode_configuration, encode_server
 from buckthornshift.serving import _store_watcher
 from buckthornshift.serving._http_client import HttpConnectionPool
 from buckthornshift.serving._peer_connections import CODEC
@@ -236,14 +238,9 @@
 
 
 def make_entry(**fields):
-    entry = {
-        "Service": "cash",
-        "Address": "10.0.0.9:8080",
-        "Zone": "z",
-        "State": "ready",
-        "Capacity": {"Cpu": 16_000, "MemMb": 32_768},
-    }
-    return json.dumps(entry | fields).encode()
+    capacity = Resources(cpu=16_000, memory_mb=32_768)
+    server = ServerRecord(host="10.0.0.9", port=8080, capacity=capacity)
+    return json.dumps(json.loads(encode_server(server)) | fields).encode()
 
 
 ODD_ENTRIES = {
