FIX Each submission of a job waits for its own deadline

What callers saw: a job that was submitted twice ended at the deadline of the first submission. The second caller was answered as unknown (504) before its own deadline, also once the first had left; with the longer deadline first, the second caller was not answered by the owner at its deadline. Cause: the job had one deadline, set when it was accepted. A submission that joined it brought none, and one that was dropped took none along. Change: the deadline belongs to the submission. One timer for a job fires for the first that is open; those whose time is over are answered for themselves, never as not run, as the job goes on for the others. Job.deadline_ms is the latest that is open. The objective stays that of the first submission, from which callers' time counts. The end of a job that another one with the same id has replaced no longer cancels the timer of that one. Why it works: each change of the submissions (joined, repeated, dropped, lost, answered) goes through set_submissions, which is the only place that sets the deadline.

--- a/buckthornshift/dispatch/_jobs.py
+++ b/buckthornshift/dispatch/_jobs.py
@@ -104,12 +104,15 @@
     :param incarnation: incarnation of that instance.
     :param key: number of the submission at its sender.
     :param attempt: see :class:`SubmitJob`.
+    :param deadline_ms: when its caller stops waiting; no part of the identity, as a
+        repetition arrives later.
     """
 
     address: str = ""
     incarnation: int = 0
     key: int = 0
     attempt: int = 0
+    deadline_ms: float = attrs.field(default=0.0, eq=False)
 
     def has_same_key(self, other):
         """Return whether another submission differs at most in its attempt."""
@@ -127,8 +130,9 @@
     :param spec: the :class:`JobSpec` that the caller submitted.
     :param queue: the :class:`Queue` that it was submitted to.
     :param arrived_ms: when the caller's request arrived.
-    :param deadline_ms: when the caller stops waiting.
-    :param objective_deadline_ms: when it must end to meet its latency objective.
+    :param deadline_ms: when the last of its callers stops waiting.
+    :param objective_deadline_ms: when it must end to meet the latency objective of the
+        first submission, which counts for those that are sent again.
     :param critical_path_ms: expected duration of its longest chain of steps.
     :param cell: the cell whose servers run it.
     :param tasks: its tasks, ordered by step and index.
@@ -187,6 +191,15 @@
             for task in self.waiting_by_name.values()
         )
 
+    def set_submissions(self, submissions):
+        """Set whose outcome is open; without any, the deadline stays the last one.
+
+        :param submissions: each :class:`Submission`.
+        """
+        self.submissions = submissions
+        if submissions:
+            self.deadline_ms = max(s.deadline_ms for s in submissions)
+
     def set_phase(self, task, phase):
         """Set the phase of a task, and keep the waiting tasks up to date.
 
--- a/buckthornshift/dispatch/_owner_jobs.py
+++ b/buckthornshift/dispatch/_owner_jobs.py
@@ -94,6 +94,7 @@
                     incarnation=event.incarnation,
                     key=event.message.key,
                     attempt=event.message.attempt,
+                    deadline_ms=self.context.now_ms + event.message.left_ms,
                 )
                 self._submit(submission, event.message)
             case DropJob(key=key):
@@ -138,14 +139,21 @@
             self.context.log(LogCode.HOME_LOST, address, n_jobs=n_dropped)
 
     def on_deadline(self, message):
-        """End a job shortly before its caller stops waiting."""
+        """Answer callers that soon stop waiting; end the job with the last of them."""
         job = self.by_id.get(message.job_id)
-        margin_ms = self.context.settings.answer_margin_ms
         if job is None or job.is_ended:
             return
-        if self.context.now_ms < job.deadline_ms - margin_ms - 1.0:
+        due_ms = self.context.now_ms + self.context.settings.answer_margin_ms + 1.0
+        due = [s for s in job.submissions if s.deadline_ms <= due_ms]
+        if len(due) == len(job.submissions):
+            self.end_early(job, EndReason.DEADLINE)
             return
-        self.end_early(job, EndReason.DEADLINE)
+        # The job goes on for the other callers, so that it isn't "not run" for any.
+        ended = JobEnded(
+            outcome=Outcome.FAILED, reason=EndReason.DEADLINE, may_have_run=True
+        )
+        self._send_ended(due, ended)
+        self._set_submissions(job, [s for s in job.submissions if s not in due])
 
     def on_claim_ended(self, message):
         """Return the jobs of a cell that have no runs; jobs with runs continue."""
@@ -333,7 +341,7 @@
         existing = self.by_id.get(message.job.job_id)
         if existing is not None and not existing.is_ended:
             others = [s for s in existing.submissions if not submission.has_same_key(s)]
-            existing.submissions = [*others, submission]
+            self._set_submissions(existing, [*others, submission])
             if message.queue.max_attempts > existing.queue.max_attempts:
                 # The senders' configurations differ; each must find the outcome right.
                 max_attempts = message.queue.max_attempts
@@ -346,7 +354,7 @@
             self._return_submission(submission, EndReason.NOT_OWNER, job_id)
             return
         job = self._build_job(message)
-        job.submissions.append(submission)
+        job.set_submissions([submission])
         crash_history = self.runs.crash_history
         known_names = self.completions.list_known(job.job_id)
         if known_names:
@@ -456,11 +464,7 @@
         context = self.context
         (submission,) = job.submissions
         self.by_id[job.job_id] = job
-        margin_ms = context.settings.answer_margin_ms
-        delay_ms = max(0.0, job.deadline_ms - context.now_ms - margin_ms)
-        self._deadline_timer_by_id[job.job_id] = context.start_timer(
-            delay_ms, JobDeadline(job_id=job.job_id)
-        )
+        self._start_deadline_timer(job)
         context.log(
             LogCode.JOB_QUEUED,
             job.job_id,
@@ -511,20 +515,39 @@
         context = self.context
         if self.by_id.get(job.job_id) is job:
             del self.by_id[job.job_id]
+            context.timers.cancel(self._deadline_timer_by_id.pop(job.job_id, None))
         names = job.list_finished()
         if ended.outcome is Outcome.COMPLETED:
             completed = (context.now_ms, job.submissions, job.job_id, names)
             self._completed_jobs.append(completed)
         else:
             self.completions.record(job.job_id, names)
+        self._send_ended(job.submissions, ended)
+        job.submissions = []
+
+    def _set_submissions(self, job, submissions):
+        job.set_submissions(submissions)
+        if submissions and not job.is_ended:
+            self._start_deadline_timer(job)
+
+    def _start_deadline_timer(self, job):
+        """Start the timer for the first of a job's callers that stops waiting."""
+        context = self.context
         context.timers.cancel(self._deadline_timer_by_id.pop(job.job_id, None))
-        for submission in job.submissions:
+        deadline_ms = min(submission.deadline_ms for submission in job.submissions)
+        margin_ms = context.settings.answer_margin_ms
+        self._deadline_timer_by_id[job.job_id] = context.start_timer(
+            max(0.0, deadline_ms - context.now_ms - margin_ms),
+            JobDeadline(job_id=job.job_id),
+        )
+
+    def _send_ended(self, submissions, ended):
+        for submission in submissions:
             submission_ended = attrs.evolve(
                 ended, key=submission.key, attempt=submission.attempt
             )
             self._store_outcome(submission, submission_ended)
             self._send(submission, submission_ended)
-        job.submissions = []
 
     def _store_outcome(self, submission, ended):
         """Store the outcome of a submission, which its repetitions get as well.
@@ -557,7 +580,7 @@
             if len(kept) == len(job.submissions):
                 continue
             n_dropped += 1
-            job.submissions = kept
+            self._set_submissions(job, kept)
             if not kept and not job.is_ended:
                 self.end_early(job, EndReason.DEADLINE)
         return n_dropped
