FIX One crash that is reported with and without the server's start counts once

What callers saw: a job whose task had crashed one server ended as unknown (502), and its task was given up, as for two crashes. Cause: losses are kept by id and start of a server's process; one observer knew the start, another (a former version) reported 0. These were two losses of the task, and also two of the servers that count for a common cause. Change: a loss without a start belongs to the newest process of its server with a known loss of the task; it counts by itself only without one. Common causes count servers, not keys. Why it works: two processes are counted only where two starts show them. Crashes with known starts count as before, so a task with two of them is given up.

--- a/buckthornshift/dispatch/_crash_history.py
+++ b/buckthornshift/dispatch/_crash_history.py
@@ -88,6 +88,9 @@
     for a resubmission of the job as well; so is its end, once the server responds.
     Servers that fail together have a common cause, such as their rack, and count less.
 
+    A loss belongs to a process of a server. One that is reported without its start may
+    be the same as one with it, so it counts only for a server without such losses.
+
     :param context: the shared :class:`DispatchContext`.
     :param fleet: the :class:`Fleet`.
     :param membership: the :class:`Membership`.
@@ -211,13 +214,12 @@
         Later failures of other servers don't change that: they would make the same
         losses look like a common one.
         """
-        n_losses = len(self._keys_by_task.get(task, ()))
-        if n_losses < MAX_CRASHES:
+        if len(self._keys_by_task.get(task, ())) < MAX_CRASHES:
             return False
         if task in self._given_up_tasks:
             return True
         if (
-            n_losses >= MAX_COMMON_LOSSES
+            len(self._list_losses_by_process(task)) >= MAX_COMMON_LOSSES
             or self._count_losses(task) >= MAX_LOSSES
             or self._count_losses(task, is_crash=True) >= MAX_CRASHES
         ):
@@ -285,14 +287,31 @@
         :param response_ms: when the request was sent that the server responded to.
         :param cause: the :class:`ForgetCause`.
         """
+        retracted = [
+            loss.key
+            for loss in self._list_same_losses(key)
+            if response_ms >= loss.silent_since_ms
+            # Otherwise the process may have ended after this response.
+            and (not loss.is_crash or response_ms > loss.learnt_ms)
+        ]
+        for retracted_key in retracted:
+            self._forget(retracted_key, cause)
+        return key in retracted
+
+    def _list_same_losses(self, key):
+        """Return the loss of a process, and one without a start that it had as well.
+
+        Its process had started by then, so a response after both is of the same one.
+        """
+        server_id, _ = key
         loss = self._loss_by_key.get(key)
-        if loss is None or response_ms < loss.silent_since_ms:
-            return False
-        if loss.is_crash and response_ms <= loss.learnt_ms:
-            # The process may have ended after this response.
-            return False
-        self._forget(key, cause)
-        return True
+        if loss is None:
+            return []
+        unknown = self._loss_by_key.get((server_id, 0))
+        if unknown in (None, loss):
+            return [loss]
+        earliest_ms = loss.silent_since_ms - MAX_REPORT_DELAY_MS
+        return [loss, unknown] if unknown.silent_since_ms >= earliest_ms else [loss]
 
     def _forget(self, key, cause=ForgetCause.SERVER_RESPONDED):
         loss = self._loss_by_key.pop(key)
@@ -370,12 +389,29 @@
         :param task: name of the task.
         :param is_crash: whether to count only servers whose process ended.
         """
-        losses = [self._loss_by_key[key] for key in self._keys_by_task.get(task, ())]
         return sum(
-            (loss.is_crash or not is_crash) and not self._is_common_failure(loss)
-            for loss in losses
+            any(
+                (loss.is_crash or not is_crash) and not self._is_common_failure(loss)
+                for loss in losses
+            )
+            for losses in self._list_losses_by_process(task)
         )
 
+    def _list_losses_by_process(self, task):
+        """Return a list of a task's losses for each process that was surely lost.
+
+        A loss without the start of its process is added to the newest of its server.
+        """
+        losses_by_id = {}
+        for key in sorted(self._keys_by_task.get(task, ()), reverse=True):
+            groups = losses_by_id.setdefault(key[0], [])
+            loss = self._loss_by_key[key]
+            if groups and not loss.started_ms:
+                groups[0].append(loss)
+            else:
+                groups.append([loss])
+        return [losses for groups in losses_by_id.values() for losses in groups]
+
     def _is_common_failure(self, loss):
         """Return whether other servers were lost at the same time.
 
@@ -393,12 +429,13 @@
         }
         for other in self._loss_by_key.values():
             silent_since_ms_by_key[other.key] = other.silent_since_ms
-        n_together = sum(
-            abs(silent_since_ms - loss.silent_since_ms) <= COMMON_FAILURE_WINDOW_MS
-            for silent_since_ms in silent_since_ms_by_key.values()
-        )
+        ids_together = {
+            server_id
+            for (server_id, _), silent_since_ms in silent_since_ms_by_key.items()
+            if abs(silent_since_ms - loss.silent_since_ms) <= COMMON_FAILURE_WINDOW_MS
+        }
         min_share = MIN_COMMON_FAILURE_SHARE * len(self.fleet.by_id)
-        loss.is_common |= n_together >= max(MIN_COMMON_FAILURES, min_share)
+        loss.is_common |= len(ids_together) >= max(MIN_COMMON_FAILURES, min_share)
 
     def _send(self, address, loss):
         message = ServerLoss(
