FIX A crash counts for the tasks that ran on the server then

What callers saw: a job ended as unknown (502) at once, though its task had lost its servers in cuts only; they had crashed under another task within a second after. Cause: whether a loss is a crash, since when the server was silent and when the loss was learnt were kept for a process. All tasks that were lost with it shared them. Change: they are kept for each task of a loss. Tasks that were lost differently are sent in different messages; the messages stay the same. Retractions are decided for each task; a crash outlives responses to requests from before the crash was learnt, not only from before the loss was. A report of a loss is ignored if the process was heard by another observer more than 1 s after it, as it is already if that report comes later. Why it works: two crashes of its own give a task up as before; the crashes of others leave its losses what they were, so that three of them are needed. Design: docs/design/27-facts-and-identities.md.

--- a/buckthornshift/dispatch/_crash_history.py
+++ b/buckthornshift/dispatch/_crash_history.py
@@ -50,31 +50,58 @@
 
 
 @attrs.define(kw_only=True)
-class _Loss:
-    """Loss of a server, with the names of the tasks that may have caused it.
+class _TaskLoss:
+    """What was observed of a server's loss for one task that ran there.
+
+    Of the tasks that were lost with a process, some may have been lost in a cut before
+    it crashed under the others.
 
-    :param is_crash: whether its process seems to have ended by itself.
+    :param silent_since_ms: when the server last responded to the observer.
+    :param is_crash: whether its process seems to have ended by itself under the task.
     :param is_common: whether other servers were lost at the same time.
-    :param learnt_ms: when this instance noted the loss.
+    :param learnt_ms: when this instance noted the loss, or that it is a crash.
     :param evidence: what showed the loss.
     :param source: address of the instance that observed or reported it.
     """
 
-    server_id: str = ""
-    started_ms: int = 0
     silent_since_ms: float = 0.0
-    suspects: set = attrs.field(factory=set)
     is_crash: bool = False
     is_common: bool = False
     learnt_ms: float = 0.0
     evidence: LossEvidence = LossEvidence.LEASES_EXPIRED
     source: str = ""
 
+    def is_void(self, response_ms):
+        """Return whether a response to a request of that time shows that it lived."""
+        if self.is_crash and response_ms <= self.learnt_ms:
+            # The process may have ended after this response.
+            return False
+        return response_ms >= self.silent_since_ms
+
+
+@attrs.define(kw_only=True)
+class _Loss:
+    """Loss of a process of a server.
+
+    :param silent_since_ms: when it last responded, if no task is left.
+    :param by_task: the :class:`_TaskLoss` of each task that may have caused it.
+    """
+
+    server_id: str = ""
+    started_ms: int = 0
+    silent_since_ms: float = 0.0
+    by_task: dict = attrs.field(factory=dict)
+
     @property
     def key(self):
         """Id and incarnation of the server; each incarnation counts."""
         return (self.server_id, self.started_ms)
 
+    def list_silent_ms(self):
+        """Return when it last responded to each of its observers."""
+        silent_ms = {lost.silent_since_ms for lost in self.by_task.values()}
+        return sorted(silent_ms) or [self.silent_since_ms]
+
 
 class CrashHistory:
     """Tell which tasks are suspected of crashing servers, and which are given up.
@@ -88,8 +115,9 @@
     for a resubmission of the job as well; so is its end, once the server responds.
     Servers that fail together have a common cause, such as their rack, and count less.
 
-    A loss belongs to a process of a server. One that is reported without its start may
-    be the same as one with it, so it counts only for a server without such losses.
+    A loss belongs to a process of a server, and what it looks like to a task that ran
+    there. One that is reported without the start of the process may be the same as one
+    with it, so it counts only for a server without such losses.
 
     :param context: the shared :class:`DispatchContext`.
     :param fleet: the :class:`Fleet`.
@@ -144,8 +172,7 @@
             if response_ms < oldest_ms:
                 del self._response_ms_by_key[key]
         for loss in list(self._loss_by_key.values()):
-            if loss.silent_since_ms < oldest_ms:
-                self._forget(loss.key, ForgetCause.TOO_OLD)
+            self._forget_older(loss, oldest_ms, ForgetCause.TOO_OLD)
 
     def record(self, server, tasks, is_former=False, may_have_left=False):
         """Record that a server was lost, and share that with the other instances.
@@ -176,8 +203,8 @@
             source=self.context.identity.address,
             is_crash=has_ended and not may_have_left,
         )
-        if len(loss.suspects) == 1:
-            self._clear_other_suspects(*loss.suspects)
+        if len(loss.by_task) == 1:
+            self._clear_other_suspects(*loss.by_task)
         self._share(loss)
 
     def retract_loss(self, server, sent_ms):
@@ -199,7 +226,6 @@
         for key in tuple(self._keys_by_task.get(task, ())):
             loss = self._loss_by_key[key]
             self._log_forgotten(loss, [task], ForgetCause.TASK_COMPLETED)
-            loss.suspects.discard(task)
             self._remove(task, key)
 
     def is_suspect(self, task):
@@ -232,7 +258,7 @@
     def has_crashed_all(self, task):
         """Return whether a task is given up, and no server it lost may still run it."""
         return self.is_given_up(task) and all(
-            self._loss_by_key[key].is_crash for key in self._keys_by_task[task]
+            self._find(task, key).is_crash for key in self._keys_by_task[task]
         )
 
     def list_lost_servers(self, task):
@@ -241,19 +267,26 @@
 
     def describe_losses(self, task):
         """Return the losses that count for a task, as fields of a log line."""
-        losses = [self._loss_by_key[key] for key in self._keys_by_task.get(task, ())]
+        losses = [
+            (self._find(task, key), key) for key in self._keys_by_task.get(task, ())
+        ]
         return [
             {
-                "server": loss.server_id,
-                "started_ms": loss.started_ms,
-                "age_ms": round(self.context.now_ms - loss.silent_since_ms),
-                "evidence": loss.evidence,
-                "source": loss.source,
-                "is_crash": loss.is_crash,
+                "server": server_id,
+                "started_ms": started_ms,
+                "age_ms": round(self.context.now_ms - lost.silent_since_ms),
+                "evidence": lost.evidence,
+                "source": lost.source,
+                "is_crash": lost.is_crash,
             }
-            for loss in sorted(losses, key=lambda x: (x.silent_since_ms, x.key))
+            for lost, (server_id, started_ms) in sorted(
+                losses, key=lambda x: (x[0].silent_since_ms, x[1])
+            )
         ]
 
+    def _find(self, task, key):
+        return self._loss_by_key[key].by_task[task]
+
     def _has_responded_since(self, key, time_ms):
         """Return whether only the instance that reports a loss can't reach a server."""
         if self._response_ms_by_key.get(key, -math.inf) > time_ms:
@@ -271,12 +304,16 @@
         if not is_former and self._has_responded_since(key, silent_since_ms):
             return
         loss = self._loss_by_key.get(key)
+        latest_ms = -math.inf if loss is None else loss.list_silent_ms()[-1]
+        if latest_ms - silent_since_ms > MAX_REPORT_DELAY_MS:
+            # The process has responded to another observer since.
+            return
         self._add(
             key,
             message.tasks,
             silent_since_ms,
-            loss.evidence if loss else LossEvidence.REPORTED,
-            loss.source if loss else address,
+            LossEvidence.REPORTED,
+            source=address,
             is_crash=message.is_crash,
         )
 
@@ -287,16 +324,14 @@
         :param response_ms: when the request was sent that the server responded to.
         :param cause: the :class:`ForgetCause`.
         """
-        retracted = [
-            loss.key
-            for loss in self._list_same_losses(key)
-            if response_ms >= loss.silent_since_ms
-            # Otherwise the process may have ended after this response.
-            and (not loss.is_crash or response_ms > loss.learnt_ms)
-        ]
-        for retracted_key in retracted:
-            self._forget(retracted_key, cause)
-        return key in retracted
+        is_retracted = False
+        for loss in self._list_same_losses(key):
+            tasks = [t for t, lost in loss.by_task.items() if lost.is_void(response_ms)]
+            has_none = not loss.by_task and response_ms >= loss.silent_since_ms
+            if tasks or has_none:
+                self._forget(loss.key, cause, tasks)
+                is_retracted |= loss.key == key
+        return is_retracted
 
     def _list_same_losses(self, key):
         """Return the loss of a process, and one without a start that it had as well.
@@ -310,59 +345,79 @@
         unknown = self._loss_by_key.get((server_id, 0))
         if unknown in (None, loss):
             return [loss]
-        earliest_ms = loss.silent_since_ms - MAX_REPORT_DELAY_MS
-        return [loss, unknown] if unknown.silent_since_ms >= earliest_ms else [loss]
-
-    def _forget(self, key, cause=ForgetCause.SERVER_RESPONDED):
-        loss = self._loss_by_key.pop(key)
-        self._log_forgotten(loss, loss.suspects, cause)
-        for task in loss.suspects:
+        earliest_ms = loss.list_silent_ms()[0] - MAX_REPORT_DELAY_MS
+        is_same = unknown.list_silent_ms()[0] >= earliest_ms
+        return [loss, unknown] if is_same else [loss]
+
+    def _forget(self, key, cause=ForgetCause.SERVER_RESPONDED, tasks=None):
+        """Forget the loss of a process for some tasks, or for all of them."""
+        loss = self._loss_by_key[key]
+        tasks = list(loss.by_task if tasks is None else tasks)
+        if tasks or not loss.by_task:
+            self._log_forgotten(loss, tasks, cause)
+        for task in tasks:
             self._remove(task, key)
+        if not loss.by_task:
+            del self._loss_by_key[key]
+
+    def _forget_older(self, loss, oldest_ms, cause):
+        """Forget a loss for the tasks whose server was heard last before a time."""
+        tasks = [
+            task
+            for task, lost in loss.by_task.items()
+            if lost.silent_since_ms < oldest_ms
+        ]
+        if tasks or loss.list_silent_ms()[-1] < oldest_ms:
+            self._forget(loss.key, cause, tasks)
 
-    def _add(
-        self,
-        key,
-        tasks,
-        silent_since_ms,
-        evidence,
-        source,
-        is_crash=False,
-    ):
+    def _add(self, key, tasks, silent_since_ms, evidence, source, is_crash=False):
         server_id, started_ms = key
         former = self._loss_by_key.get(key)
-        if former and silent_since_ms - former.silent_since_ms > MAX_REPORT_DELAY_MS:
-            # The server has responded between the two losses.
-            self._forget(key, ForgetCause.LOST_AGAIN)
-        is_new = key not in self._loss_by_key
-        loss = self._loss_by_key.setdefault(
-            key,
-            _Loss(
-                server_id=server_id,
-                started_ms=started_ms,
-                silent_since_ms=silent_since_ms,
-                learnt_ms=self.context.now_ms,
-            ),
+        if former:
+            # The process has responded between the two losses.
+            oldest_ms = silent_since_ms - MAX_REPORT_DELAY_MS
+            self._forget_older(former, oldest_ms, ForgetCause.LOST_AGAIN)
+        new_loss = _Loss(
+            server_id=server_id, started_ms=started_ms, silent_since_ms=silent_since_ms
         )
-        is_changed = is_new or loss.evidence is not evidence
-        is_changed |= not loss.suspects.issuperset(tasks)
-        is_changed |= is_crash and not loss.is_crash
-        loss.evidence, loss.source = evidence, source
-        loss.suspects.update(tasks)
-        loss.is_crash |= is_crash
+        loss = self._loss_by_key.setdefault(key, new_loss)
+        changed = []
         for task in tasks:
+            former = loss.by_task.get(task)
+            lost = former or _TaskLoss(
+                silent_since_ms=silent_since_ms,
+                learnt_ms=self.context.now_ms,
+                evidence=evidence,
+                source=source,
+            )
+            loss.by_task[task] = lost
             self._keys_by_task.setdefault(task, set()).add(key)
-        self._update_common_failure(loss)
-        if is_changed:
+            is_new_crash = is_crash and not lost.is_crash
+            if is_new_crash:
+                lost.is_crash = True
+                lost.learnt_ms = self.context.now_ms
+            # A report says less than what this instance knows already.
+            is_observed = evidence is not LossEvidence.REPORTED
+            is_new_evidence = is_observed and lost.evidence is not evidence
+            if is_observed:
+                lost.evidence, lost.source = evidence, source
+            if former is None or is_new_crash or is_new_evidence:
+                changed.append(task)
+            self._update_common_failure(lost)
+        if changed:
+            lost = loss.by_task[changed[0]]
             self._log(
                 LogCode.LOSS_RECORDED,
                 loss,
-                evidence=evidence,
-                source=source,
-                is_crash=loss.is_crash,
+                tasks,
+                evidence=lost.evidence,
+                source=lost.source,
+                is_crash=lost.is_crash,
             )
         return loss
 
     def _remove(self, task, key):
+        self._loss_by_key[key].by_task.pop(task, None)
         self._given_up_tasks.discard(task)
         keys = self._keys_by_task.get(task, set())
         keys.discard(key)
@@ -376,12 +431,9 @@
             return
         for key in self._keys_by_task[task]:
             loss = self._loss_by_key[key]
-            others = loss.suspects - {task}
+            others = set(loss.by_task) - {task}
             if others:
-                self._log_forgotten(loss, others, ForgetCause.OTHER_TASK_CRASHED_IT)
-            for other in others:
-                self._remove(other, key)
-            loss.suspects = {task}
+                self._forget(key, ForgetCause.OTHER_TASK_CRASHED_IT, others)
 
     def _count_losses(self, task, is_crash=False):
         """Return how many servers were lost under a task without a common cause.
@@ -391,61 +443,72 @@
         """
         return sum(
             any(
-                (loss.is_crash or not is_crash) and not self._is_common_failure(loss)
-                for loss in losses
+                (lost.is_crash or not is_crash) and not self._is_common_failure(lost)
+                for lost in losses
             )
             for losses in self._list_losses_by_process(task)
         )
 
     def _list_losses_by_process(self, task):
-        """Return a list of a task's losses for each process that was surely lost.
+        """Return a list of :class:`_TaskLoss` for each process that was surely lost.
 
         A loss without the start of its process is added to the newest of its server.
         """
         losses_by_id = {}
         for key in sorted(self._keys_by_task.get(task, ()), reverse=True):
-            groups = losses_by_id.setdefault(key[0], [])
-            loss = self._loss_by_key[key]
-            if groups and not loss.started_ms:
-                groups[0].append(loss)
+            server_id, started_ms = key
+            groups = losses_by_id.setdefault(server_id, [])
+            if groups and not started_ms:
+                groups[0].append(self._find(task, key))
             else:
-                groups.append([loss])
+                groups.append([self._find(task, key)])
         return [losses for groups in losses_by_id.values() for losses in groups]
 
-    def _is_common_failure(self, loss):
+    def _is_common_failure(self, lost):
         """Return whether other servers were lost at the same time.
 
         It stays so when they respond again.
         """
-        if not loss.is_common:
-            self._update_common_failure(loss)
-        return loss.is_common
+        if not lost.is_common:
+            self._update_common_failure(lost)
+        return lost.is_common
 
-    def _update_common_failure(self, loss):
-        silent_since_ms_by_key = {
-            (server.id, server.started_ms): server.last_response_ms
+    def _update_common_failure(self, lost):
+        silent_ms_by_key = {
+            (server.id, server.started_ms): [server.last_response_ms]
             for server in self.fleet.by_id.values()
             if not server.is_reachable
         }
         for other in self._loss_by_key.values():
-            silent_since_ms_by_key[other.key] = other.silent_since_ms
+            silent_ms_by_key[other.key] = other.list_silent_ms()
         ids_together = {
             server_id
-            for (server_id, _), silent_since_ms in silent_since_ms_by_key.items()
-            if abs(silent_since_ms - loss.silent_since_ms) <= COMMON_FAILURE_WINDOW_MS
+            for (server_id, _), silent_ms in silent_ms_by_key.items()
+            for time_ms in silent_ms
+            if abs(time_ms - lost.silent_since_ms) <= COMMON_FAILURE_WINDOW_MS
         }
         min_share = MIN_COMMON_FAILURE_SHARE * len(self.fleet.by_id)
-        loss.is_common |= len(ids_together) >= max(MIN_COMMON_FAILURES, min_share)
+        lost.is_common |= len(ids_together) >= max(MIN_COMMON_FAILURES, min_share)
 
     def _send(self, address, loss):
-        message = ServerLoss(
-            server_id=loss.server_id,
-            tasks=tuple(sorted(loss.suspects)),
-            age_ms=self.context.now_ms - loss.silent_since_ms,
-            started_ms=loss.started_ms,
-            is_crash=loss.is_crash,
-        )
-        self.context.emit(SendToPeer(address=address, message=message))
+        """Send a loss, in a message for each group of tasks that were lost alike."""
+        tasks_by_observation = {}
+        for task, lost in loss.by_task.items():
+            observation = (lost.silent_since_ms, lost.is_crash)
+            tasks_by_observation.setdefault(observation, []).append(task)
+        if not loss.by_task:
+            # It still tells which servers were lost at the same time.
+            tasks_by_observation[loss.silent_since_ms, False] = []
+        for observation, tasks in sorted(tasks_by_observation.items()):
+            silent_since_ms, is_crash = observation
+            message = ServerLoss(
+                server_id=loss.server_id,
+                tasks=tuple(sorted(tasks)),
+                age_ms=self.context.now_ms - silent_since_ms,
+                started_ms=loss.started_ms,
+                is_crash=is_crash,
+            )
+            self.context.emit(SendToPeer(address=address, message=message))
 
     def _send_response(self, address, key, response_ms):
         server_id, started_ms = key
@@ -456,13 +519,14 @@
         )
         self.context.emit(SendToPeer(address=address, message=message))
 
-    def _log(self, code, loss, tasks=None, **fields):
+    def _log(self, code, loss, tasks, **fields):
+        silent_since_ms = loss.list_silent_ms()[0]
         self.context.log(
             code,
             loss.server_id,
             started_ms=loss.started_ms,
-            tasks=sorted(loss.suspects if tasks is None else tasks),
-            silent_ms=round(self.context.now_ms - loss.silent_since_ms),
+            tasks=sorted(tasks),
+            silent_ms=round(self.context.now_ms - silent_since_ms),
             **fields,
         )
 
