FIX An outcome that was lost with the owner's connection is sent again over the next one

What callers saw: a request that waits until its deadline and ends with 504, though its job has ended. After 3 s the owner has forgotten the outcome, and the job would run again. Cause: an outcome is sent once. Only the receiving instance repeated anything, its submissions, and only when it had opened a connection itself. Either side of a broken connection replaces its own one after 300 ms without a newer confirmation; if the owner is first, the receiving instance gets its heartbeats in time and repeats nothing. Evidence, before: test_outcome_is_sent_again_over_a_new_connection_of_the_owner: assert [] == [JobEnded(key=1, ...)]. Why it works: a new connection of the owner repeats the outcomes of that process that were sent since its newest confirmed heartbeat. Messages on a connection keep their order, so older ones have arrived. The receiving instance ignores an outcome whose submission it has answered.

--- a/buckthornshift/dispatch/_owner_jobs.py
+++ b/buckthornshift/dispatch/_owner_jobs.py
@@ -6,7 +6,7 @@
 
 from ._actions import LogCode, SendToPeer
 from ._admission import JobRefusal
-from ._events import PeerMessageReceived
+from ._events import PeerConnected, PeerMessageReceived
 from ._internal_messages import (
     AbandonmentDue,
     ClaimEnded,
@@ -69,6 +69,7 @@
         return {
             PeerMessageReceived: self.on_received,
             PeerLost: self.on_peer_lost,
+            PeerConnected: self.on_peer_connected,
             ContactBroken: self.on_contact_broken,
             AbandonmentDue: self.on_abandonment,
             JobDeadline: self.on_deadline,
@@ -114,6 +115,23 @@
         if n_dropped:
             self.context.log(LogCode.HOME_LOST, message.address, n_jobs=n_dropped)
 
+    def on_peer_connected(self, event):
+        """Repeat the outcomes that an instance may not have received.
+
+        They may have been lost with the former connection, of which that instance
+        knows nothing. What was sent before a heartbeat that it confirmed has arrived.
+        """
+        peer = self.membership.by_address.get(event.address)
+        if peer is None:
+            return
+        process = (peer.address, peer.incarnation)
+        confirmed_ms = peer.confirmed_sent_ms
+        for submission, (ended_ms, ended) in self._outcome_by_submission.items():
+            has_arrived = confirmed_ms is not None and ended_ms < confirmed_ms
+            is_theirs = (submission.address, submission.incarnation) == process
+            if is_theirs and not has_arrived:
+                self._send(submission, ended)
+
     def on_contact_broken(self, message):
         """Give an instance that lost contact some time to repeat its submissions.
 
