FIX A graceful close answers the pipelined requests of a connection before it closes it

What callers saw: with two requests on one connection, the second gets no answer if the instance is told to stop while the first is open. If the rest of the second was still under way, the first one's answer was lost as well, as closing a socket with unread data resets it. Cause: during a graceful close, every response was the last of its connection. Evidence, before: test_a_graceful_close_answers_pipelined_requests fails with 0, 1 and 6 late bytes: without the second answer, or with ConnectionResetError; ..._ends_a_connection_with_half_a_request: no 408 in the response. Why it works: the response is the last one only if no other request has arrived, not even in part. The rest of a request has the time that any request has; until now an idle connection's time applied to it. Besides: a request whose handler raises gets an error status; this held before and wasn't tested.

--- a/buckthornshift/serving/_http_server.py
+++ b/buckthornshift/serving/_http_server.py
@@ -121,7 +121,10 @@
         return self._server.sockets[0].getsockname()[1]
 
     def begin_graceful_close(self):
-        """Close each connection after its next response, or once it has been idle."""
+        """Close each connection after its next response, or once it has been idle.
+
+        Pipelined requests are answered first, also one that has arrived in part.
+        """
         self.is_closing = True
         loop = asyncio.get_running_loop()
         self._idle_timer = loop.call_later(CLOSE_IDLE_AFTER_S, self._close_idle)
@@ -241,12 +244,15 @@
         if exchange not in self._exchanges:
             return
         self._exchanges.remove(exchange)
-        is_last = self.server.is_closing or exchange.is_last
+        has_next = bool(self._exchanges) or self._is_in_message
+        is_last = exchange.is_last or (self.server.is_closing and not has_next)
         self._write(status, body, headers, is_last)
         if is_last:
             self._close_after_response()
         elif self._exchanges:
             self.server.handler(self._exchanges[0])
+        elif self._is_in_message:
+            self._set_timer(self._limits.head_timeout_s)
         else:
             self._set_timer(self._limits.idle_timeout_s)
 
--- a/tests/serving/test_http_server.py
+++ b/tests/serving/test_http_server.py
@@ -128,3 +128,59 @@
         return result
 
     assert asyncio.run(run()) == (200, b"hello")
+
+
+async def stop_between_requests(data, late_data=b""):
+    """Begin a graceful close before the first response; return what was received."""
+    exchanges = []
+    server = HttpServer(handler=exchanges.append, limits=lambda: LIMITS)
+    port = await server.start("127.0.0.1", 0)
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    reading = asyncio.ensure_future(reader.read())
+    writer.write(data)
+    await wait_until(lambda: exchanges)
+    server.begin_graceful_close()
+    echo(exchanges[0])
+    writer.write(late_data)
+    await wait_until(lambda: len(exchanges) == 2 or reading.done())
+    for exchange in exchanges[1:]:
+        echo(exchange)
+    response = await asyncio.wait_for(reading, TIMEOUT_S)
+    writer.close()
+    server.close()
+    return response
+
+
+FIRST = b"GET /a HTTP/1.1\r\n\r\n"
+SECOND = b"POST /b HTTP/1.1\r\nContent-Length: 6\r\n\r\nsecond"
+
+
+# Guards against a request without an answer: the instance stops while an earlier
+# request on the same connection is open.
+@pytest.mark.parametrize("n_late_bytes", [0, 1, 6])
+def test_a_graceful_close_answers_pipelined_requests(n_late_bytes):
+    requests = FIRST + SECOND
+    cut = len(requests) - n_late_bytes
+    response = asyncio.run(stop_between_requests(requests[:cut], requests[cut:]))
+    assert response.count(b"HTTP/1.1 200 OK") == 2
+    assert response.endswith(b"second")
+    assert response.count(b"Connection: close") == 1
+
+
+# Guards against a connection that stays open, as the rest of a request never arrives.
+def test_a_graceful_close_ends_a_connection_with_half_a_request():
+    response = asyncio.run(stop_between_requests(FIRST + SECOND[:-1]))
+    assert b"408 Request Timeout" in response
+
+
+# Guards against a caller that waits without an answer, as a handler has raised.
+@pytest.mark.parametrize("n_before", [0, 1])
+def test_a_request_whose_handler_raises_gets_an_error_status(n_before):
+    def fail_at_last(exchange):
+        if exchange.request.path == "/last":
+            raise ValueError(exchange.request.path)
+        exchange.respond(200)
+
+    data = b"GET /a HTTP/1.1\r\n\r\n" * n_before + b"GET /last HTTP/1.1\r\n\r\n"
+    response = asyncio.run(send_raw(data, handler=fail_at_last))
+    assert read_status(response[response.rindex(b"HTTP/1.1") :]) >= 400
