FIX A job that is submitted again before it is returned answers both senders, and repeats no task

What callers saw: a request that waits until its deadline; a task that runs again after it was done. Cause: an owner that loses a server to a rival returns the job once its other runs have been stopped. Another instance that submitted the job in between got a new one in its place, so that the end of the last run returned nothing. The new job didn't know which tasks were done, nor that it may have run. Why it works: the new job takes over the senders of the returned one, its done tasks, and counts as one that may have run, so that it isn't refused as not run.

--- a/buckthornshift/dispatch/_owner_jobs.py
+++ b/buckthornshift/dispatch/_owner_jobs.py
@@ -373,6 +373,10 @@
             return
         job = self._build_job(message)
         job.set_submissions([submission])
+        if existing is not None:
+            # It is to be returned once its last run has ended.
+            job.is_resent = True
+            self.completions.record(existing.job_id, existing.list_finished())
         crash_history = self.runs.crash_history
         known_names = self.completions.list_known(job.job_id)
         if known_names:
@@ -481,6 +485,13 @@
     def _accept(self, job, message):
         context = self.context
         (submission,) = job.submissions
+        returned = self.by_id.get(job.job_id)
+        if returned is not None:
+            # Its senders wait for this job instead.
+            others = returned.submissions
+            others = [s for s in others if not submission.has_same_key(s)]
+            job.set_submissions([*others, submission])
+            returned.submissions = []
         self.by_id[job.job_id] = job
         self._start_deadline_timer(job)
         context.log(
