FIX An instance whose checks are always late exits before the platform kills it

What callers saw: connections that are reset without an answer, 6 s after the instance was told to stop. Cause: a check that comes more than 200 ms late decides nothing, so that requests behind it are read first. If every pass of the event loop is that late, no check decides, and the process is killed with its requests open. Evidence, before: test_an_instance_that_is_always_late_exits_in_time: no Exit 440 ms after the longest time. Why it works: once the longest time is over, one late check is passed over, which lets the requests behind it be read; the next one ends the process. An idle instance still waits for a check in time.

--- a/buckthornshift/dispatch/_shutdown.py
+++ b/buckthornshift/dispatch/_shutdown.py
@@ -23,6 +23,7 @@
         self.lease_manager = lease_manager
         self._requested_ms = None
         self._last_check_ms = 0.0
+        self._is_postponed = False
 
     def subscribe(self):
         """Return handlers by message class."""
@@ -56,8 +57,10 @@
             and not self.lease_manager.list_yielding_ids()
         )
         is_timed_out = since_request_ms >= settings.stop_max_ms
-        if since_check_ms > MAX_CHECK_GAP_MS:
+        is_late = since_check_ms > MAX_CHECK_GAP_MS
+        if is_late and not (is_timed_out and self._is_postponed):
             # The process was paused: requests may be queued behind this timer.
+            self._is_postponed = is_timed_out
             context.start_timer(CHECK_INTERVAL_MS, StopCheckDue())
             return
         if is_timed_out or (is_idle and since_request_ms >= settings.stop_min_ms):
