FIX A job whose attempts are used up before it is returned fails, and isn't run again

What callers saw: a task that is started again though it has failed as often as its queue allows. Cause: a job that is to be returned counts as ended, so that its last failed run decided nothing; the job was returned, and the next owner began to count anew. Evidence, before: test_job_whose_attempts_are_used_up_before_it_is_returned_fails: the outcome is 'returned', 'not_owner'. Why it works: the failed run that uses up the attempts ends the job as long as it hasn't been reported. It rests on the ends of runs that servers reported to this owner, as before.

--- a/buckthornshift/dispatch/_owner_jobs.py
+++ b/buckthornshift/dispatch/_owner_jobs.py
@@ -211,6 +211,14 @@
         self.context.post(ServersChanged())
         return True
 
+    def can_fail(self, job):
+        """Return whether a job has no outcome yet, also if it is to be returned.
+
+        :param job: the job.
+        """
+        is_unreported = self.by_id.get(job.job_id) is job
+        return is_unreported and (job.is_returned or not job.is_ended)
+
     def fail(self, job, task):
         """End a job as failed, because runs of a task failed.
 
@@ -233,6 +241,7 @@
             reason=EndReason.ATTEMPTS_USED_UP,
             may_have_run=True,
         )
+        job.is_ended = job.is_returned = False
         self._end(job, ended)
 
     def give_up(self, job):
--- a/buckthornshift/dispatch/_runs.py
+++ b/buckthornshift/dispatch/_runs.py
@@ -434,7 +434,7 @@
                 self._record_failure(server, task)
                 self.requeue_task(run)
                 is_used_up = task.n_failures >= job.queue.max_attempts
-                if is_used_up and not task.is_known_done and not job.is_ended:
+                if is_used_up and not task.is_known_done and self.jobs.can_fail(job):
                     self.jobs.fail(job, task)
             case _:
                 self.requeue_task(run)
