FIX A job that a former owner has begun isn't refused as not run

What callers saw: 429 or 503, which promise that a job never runs, for a job of which a task had run. Cause: a job whose caller had submitted it to another instance before doesn't count as one that may have run. When a run of it was found at a takeover and adopted, or a task was learnt to be done, that wasn't corrected. Evidence, before: test_job_with_a_run_of_a_former_owner_may_have_run fails with either: may_have_run is False. Why it works: an adopted run or a task that is known to be done shows that a former owner has started the job. Besides, tests of what held and wasn't covered: two requests with the same job at one instance are both answered; requests with odd deadlines and estimates are answered.

--- a/buckthornshift/dispatch/_owner_jobs.py
+++ b/buckthornshift/dispatch/_owner_jobs.py
@@ -206,6 +206,7 @@
         job = self.by_id.get(job_id)
         if job is None or job.is_ended:
             return False
+        job.is_resent = job.is_resent or bool(names)
         if job.finish_known(names):
             self.complete(job)
         self.context.post(ServersChanged())
--- a/buckthornshift/dispatch/_run_adoption.py
+++ b/buckthornshift/dispatch/_run_adoption.py
@@ -192,6 +192,7 @@
         if not is_free or run.task is not None or run.phase is not RunPhase.RUNNING:
             return
         run.task = task
+        job.is_resent = True
         task.job.set_phase(task, TaskPhase.PLACED)
         task.last_run_number = run.number
         server.set_run_need(run, task.spec.need)
--- a/tests/dispatch/test_answers.py
+++ b/tests/dispatch/test_answers.py
@@ -1,16 +1,27 @@
 """Requests get an answer, whatever was lost between the instances."""
 
+import math
+
+import pytest
+from test_completions import CHAIN
 from test_failed_without_cause import PEER, QUEUE, RECEIVER, Owner
 
 from buckthornshift.dispatch import (
+    AnswerCaller,
     EndKind,
+    JobArrived,
     JobEnded,
+    JobSpec,
     Outcome,
     PeerConnected,
+    Resources,
+    RunningTask,
     SendToPeer,
     StartRun,
+    StepSpec,
     SubmitJob,
 )
+from buckthornshift.dispatch._jobs import TaskPhase
 
 
 def end_run(owner, start, kind=EndKind.DONE):
@@ -112,3 +123,62 @@
     owner.submit_from_peer()
     (job,) = owner.core.jobs.list_open()
     assert job.may_have_run
+
+
+# Guards against a refusal that says the job never ran: a former owner has run it, and
+# the caller had submitted it to another instance before.
+@pytest.mark.parametrize("is_running", [False, True])
+def test_job_with_a_run_of_a_former_owner_may_have_run(is_running):
+    owner = Owner(n_servers=1)
+    server = owner.server("s0")
+    server.usable_after_ms = owner.now_ms + 60_000.0
+    assert owner.submit(steps=CHAIN) == []
+    (job,) = owner.core.jobs.list_open()
+    assert not job.may_have_run
+    if is_running:
+        run = RunningTask(task=job.tasks[0].name, run=1, percent=1.0)
+        owner.processes["s0"].running.append(run)
+        owner.core.lease_manager.mark_fenced(server)
+        owner.advance_time(1_500.0)
+        assert job.tasks[0].phase is TaskPhase.PLACED
+    else:
+        owner.let_former_run_end("s0", job.tasks[0].name)
+    assert job.may_have_run
+
+
+# Guards against a caller without an answer: it submitted its job a second time at the
+# same instance, while the first request was open.
+def test_both_requests_with_the_same_job_are_answered():
+    owner = Owner()
+    (start,) = owner.submit()
+    (job,) = owner.core.jobs.list_open()
+    for caller_ref in (1, 2):
+        arrival = JobArrived(
+            caller_ref=caller_ref, job=job.spec, queue=QUEUE, timeout_ms=9_000.0
+        )
+        owner.feed(arrival)
+    end_run(owner, start)
+    answers = owner.pop(AnswerCaller)
+    assert {answer.caller_ref: answer.outcome for answer in answers} == {
+        1: Outcome.COMPLETED,
+        2: Outcome.COMPLETED,
+    }
+    assert owner.pop(StartRun) == []
+
+
+# Guards against requests without an answer: whatever the deadline and the estimate
+# are, each request is answered at the latest when its caller stops waiting.
+@pytest.mark.parametrize("timeout_ms", [1.0, 500.0, 1e300, math.inf])
+@pytest.mark.parametrize("estimate_ms", [-1e308, -1.0, 0.0, 1e300])
+def test_request_with_odd_numbers_is_answered(timeout_ms, estimate_ms):
+    owner = Owner()
+    step = StepSpec(n_tasks=3, need=Resources(cpu=1_000), estimate_ms=estimate_ms)
+    job = JobSpec(job_id="0" * 16, payload="p", steps=(step,))
+    arrival = JobArrived(caller_ref=1, job=job, queue=QUEUE, timeout_ms=timeout_ms)
+    owner.feed(arrival)
+    for start in owner.pop(StartRun):
+        end_run(owner, start)
+    owner.advance_time(1_000.0)
+    for start in owner.pop(StartRun):
+        end_run(owner, start)
+    assert len(owner.pop(AnswerCaller)) == 1
