FIX A repeated submission that its owner returns is not given to another owner while it may still run

What callers saw: nothing; a task may have run twice at the same time. Cause: a submission that is repeated over a new connection counts as possibly run. If its owner returned it for lack of contact, it went to the next owner after 100 ms, as no time had been set until which an earlier run may go on. Evidence, before: test_repeated_submission_that_is_returned_waits_for_the_leases: a SubmitJob with attempt=2 instead of none. Why it works: such a job waits until the leases have expired, as one that is returned for another reason does. The same owner, or one that sees all runs, still gets it at once.

--- a/buckthornshift/dispatch/_request_router.py
+++ b/buckthornshift/dispatch/_request_router.py
@@ -314,7 +314,11 @@
         if ended.may_have_run:
             self._record_former_owner(request, owner)
         if ended.reason is EndReason.OUT_OF_CONTACT:
-            # The owner did not start the job, and contact may soon be restored.
+            # The owner did not start the job, and contact may soon be restored. It may
+            # have started an earlier submission, which this one repeated.
+            process = (owner[0], owner[2])
+            if request.may_have_run and request.former_process in (None, process):
+                self._schedule_resubmit(request, context.now_ms)
             retry = ResubmitDue(key=request.key)
             context.start_timer(context.settings.retry_ms, retry)
             return
--- a/tests/dispatch/test_request_router.py
+++ b/tests/dispatch/test_request_router.py
@@ -316,3 +316,18 @@
     (second,) = receiver.pop_submissions()
     assert second.is_resent
     assert second.n_cells == 2
+
+
+# Guards against a task that runs twice: the owner may have started the job before its
+# connection was replaced, and another instance owns the cell when it is resubmitted.
+def test_repeated_submission_that_is_returned_waits_for_the_leases(receiver):
+    receiver.advance_time(100.0)
+    receiver.submit()
+    receiver.pop_submissions()
+    receiver.feed(PeerConnected(address=OWNER))
+    (repeat,) = receiver.pop_submissions()
+    return_job(receiver, repeat, EndReason.OUT_OF_CONTACT)
+    receiver.advance_time(400.0, address=SUCCESSOR, n_owned=2, complete_term=0)
+    assert receiver.pop_submissions() == []
+    receiver.advance_time(1_500.0, address=SUCCESSOR, n_owned=2, complete_term=0)
+    assert len(receiver.pop_submissions()) == 1
