FIX A job that may have run for a joined submission isn't answered as not run

What callers saw: 429 or 503, which promise that a job never runs, at the first caller of a job that a former owner has run for a second caller. Cause: a submission that joins an open job brought no word that a former owner may have started it. Before: test_job_that_a_joined_submission_may_have_run_is_not_answered_as_not_run: not_run. A repetition of a submission that the job has changes nothing.

--- a/buckthornshift/dispatch/_owner_jobs.py
+++ b/buckthornshift/dispatch/_owner_jobs.py
@@ -368,6 +368,9 @@
             return
         existing = self.by_id.get(message.job.job_id)
         if existing is not None and not existing.is_ended:
+            if message.is_resent and submission not in existing.submissions:
+                # A former owner of this submission may have started the job.
+                existing.is_resent = True
             others = [s for s in existing.submissions if not submission.has_same_key(s)]
             self._set_submissions(existing, [*others, submission])
             if message.queue.max_attempts > existing.queue.max_attempts:
