FIX A run that was handed over with a joined submission is waited for

What callers saw: a task could run twice at the same time: it started beside the run that a former owner had handed over with another submission of the job. Cause: a submission that joins an open job brought no word of the runs that go on. Before: test_joined_submission_keeps_its_handed_over_run_from_starting_twice: assert [StartRun(...)] == []

--- a/buckthornshift/dispatch/_owner_jobs.py
+++ b/buckthornshift/dispatch/_owner_jobs.py
@@ -368,15 +368,17 @@
             return
         existing = self.by_id.get(message.job.job_id)
         if existing is not None and not existing.is_ended:
-            if message.is_resent and submission not in existing.submissions:
-                # A former owner of this submission may have started the job.
-                existing.is_resent = True
+            is_new = submission not in existing.submissions
             others = [s for s in existing.submissions if not submission.has_same_key(s)]
             self._set_submissions(existing, [*others, submission])
             if message.queue.max_attempts > existing.queue.max_attempts:
                 # The senders' configurations differ; each must find the outcome right.
                 max_attempts = message.queue.max_attempts
                 existing.queue = attrs.evolve(existing.queue, max_attempts=max_attempts)
+            if message.is_resent and is_new:
+                # A former owner of this submission may have started the job.
+                existing.is_resent = True
+                self.runs.adoption.adopt_runs_of(existing, message)
             self.finish_known(existing.job_id, message.finished_tasks)
             return
         is_same_division = message.n_cells == self.cells.n_cells
--- a/tests/dispatch/test_joined_submissions.py
+++ b/tests/dispatch/test_joined_submissions.py
@@ -1,14 +1,16 @@
 """A submission that joins an open job brings what its sender knows of former runs."""
 
-from test_failed_without_cause import PEER, QUEUE, Owner
+from test_failed_without_cause import PEER, QUEUE, TASK, Owner
 
 from buckthornshift.dispatch import (
     JobSpec,
     Outcome,
     Resources,
+    StartRun,
     StepSpec,
     SubmitJob,
 )
+from buckthornshift.dispatch._peer_messages import RunLeft
 
 
 class WaitingOwner(Owner):
@@ -36,3 +38,15 @@
     owner.advance_time(30_000.0)
     outcomes = {ended.key: ended.outcome for ended in owner.pop_outcomes()}
     assert outcomes == {1: Outcome.FAILED, 2: Outcome.FAILED}
+
+
+# Guards against a start beside a run that a former owner handed over with a submission
+# that joins an open job.
+def test_joined_submission_keeps_its_handed_over_run_from_starting_twice():
+    owner = WaitingOwner()
+    left = RunLeft(task=TASK, server_id="s9")
+    owner.join(runs_left=(left,), runs_left_ms=2_000.0)
+    owner.advance_time(1_000.0)
+    assert owner.pop(StartRun) == []
+    owner.advance_time(2_000.0)
+    assert len(owner.pop(StartRun)) == 1
