FIX The next owner waits for a run at a removed server as long as the former one

What callers saw: a task could run twice at the same time: a job was handed over while a run of it was waited for at a server that a rival held; the next owner waited for its leases only. Cause: a run that is handed over carried no time of its own, and the rival renews the leases.

--- a/buckthornshift/dispatch/_peer_messages.py
+++ b/buckthornshift/dispatch/_peer_messages.py
@@ -100,11 +100,13 @@
     :param server_id: server on which it may still be running.
     :param started_ms: incarnation of the server that listed it as running; 0 if none
         did.
+    :param left_ms: time until it must have ended, if that is longer than its lease.
     """
 
     task: str = ""
     server_id: str = ""
     started_ms: int = 0
+    left_ms: float = 0.0
 
 
 @attrs.frozen(kw_only=True)
--- a/buckthornshift/dispatch/_run_adoption.py
+++ b/buckthornshift/dispatch/_run_adoption.py
@@ -113,11 +113,14 @@
 
     def list_left(self, job):
         """Return a :class:`RunLeft` of each run of a job that may not have ended."""
+        now_ms = self.context.now_ms
         left_by_name = {
-            name: lost.left for name, lost in self._lost_run_by_name.items()
+            name: attrs.evolve(lost.left, left_ms=max(0.0, lost.until_ms - now_ms))
+            for name, lost in self._lost_run_by_name.items()
+            if not self._is_over(lost)
         }
-        for name, (left, _, _) in self._left_run_by_name.items():
-            left_by_name[name] = left
+        for name, (left, _, until_ms) in self._left_run_by_name.items():
+            left_by_name[name] = attrs.evolve(left, left_ms=max(0.0, until_ms - now_ms))
         for task in job.tasks:
             _, run = self.runs.find_open(task.name)
             if run is not None:
@@ -143,7 +146,7 @@
             server = self.fleet.by_id.get(left.server_id)
             if server is not None and server.is_former(left.started_ms):
                 continue
-            until_ms = now_ms + message.runs_left_ms
+            until_ms = now_ms + max(message.runs_left_ms, left.left_ms)
             self._left_run_by_name[left.task] = (left, now_ms, until_ms)
             if server is not None and server.ownership is Ownership.OWNED:
                 # The former owner may have taken it unnoticed, so it is asked again.
