FIX A job that has replaced a returned one keeps its runs

Its runs were stopped without cause when the former job lost a server to a rival: runs are found by the name of the task, and the former job was returned once more. Before: test_lost_server_of_a_replaced_job_stops_no_run_of_the_next_one: s0 is told to stop.

--- a/buckthornshift/dispatch/_owner_jobs.py
+++ b/buckthornshift/dispatch/_owner_jobs.py
@@ -286,6 +286,9 @@
         Runs that this instance started are stopped first; the job is returned when
         the last of them is gone.
         """
+        if self.by_id.get(job.job_id) is not job:
+            # It was reported, or its senders wait for a later job with the same id.
+            return
         if job.is_ended and not job.is_returned:
             return
         job.is_ended = job.is_returned = True
