FIX Failed runs of a returned job count for the job that replaces it

What callers saw: a task that is started again though it has failed as often as its queue allows. Cause: a job that is submitted again before it is returned began to count anew, and a failed run that ended later counted for the job that had been replaced. Before: test_failed_runs_of_a_returned_job_count_after_it_is_submitted_again: it starts again. Why it works: the new job takes the counts over, and the ends that this owner reads later count for it; each end is read once.

--- a/buckthornshift/dispatch/_owner_jobs.py
+++ b/buckthornshift/dispatch/_owner_jobs.py
@@ -220,6 +220,16 @@
         is_unreported = self.by_id.get(job.job_id) is job
         return is_unreported and (job.is_returned or not job.is_ended)
 
+    def find_current(self, task):
+        """Return a task, or that of the job that has replaced its returned job.
+
+        :param task: the task.
+        """
+        if not task.job.is_returned:
+            return task
+        job = self.by_id.get(task.job.job_id, task.job)
+        return next((t for t in job.tasks if t.name == task.name), task)
+
     def fail(self, job, task):
         """End a job as failed, because runs of a task failed.
 
@@ -395,6 +405,9 @@
             # It is to be returned once its last run has ended.
             job.is_resent = True
             self.completions.record(existing.job_id, existing.list_finished())
+            n_failures_by_name = {task.name: task.n_failures for task in existing.tasks}
+            for task in job.tasks:
+                task.n_failures = n_failures_by_name.get(task.name, 0)
         crash_history = self.runs.crash_history
         known_names = self.completions.list_known(job.job_id)
         if known_names:
--- a/buckthornshift/dispatch/_runs.py
+++ b/buckthornshift/dispatch/_runs.py
@@ -431,6 +431,8 @@
                 if job.finish_task(task) and not job.is_ended:
                     self.jobs.complete(job)
             case EndKind.FAILED:
+                task = self.jobs.find_current(task)
+                job = task.job
                 self._record_failure(server, task)
                 self.requeue_task(run)
                 is_used_up = task.n_failures >= job.queue.max_attempts
