FIX A job isn't run again while its outcome is lost repeatedly

What callers saw: a job that had completed ran again, and was answered as failed at its deadline. Cause: the owner kept an outcome for 3 s from the end of the job. A receiving instance whose connections were reset each second repeated its submission three times; two of the answers were lost, and the third came after 3 s. Why it works: an outcome is kept for 3 s from the last time that it was sent.

--- a/buckthornshift/dispatch/_owner_jobs.py
+++ b/buckthornshift/dispatch/_owner_jobs.py
@@ -126,11 +126,11 @@
             return
         process = (peer.address, peer.incarnation)
         confirmed_ms = peer.confirmed_sent_ms
-        for submission, (ended_ms, ended) in self._outcome_by_submission.items():
-            has_arrived = confirmed_ms is not None and ended_ms < confirmed_ms
+        for submission, (sent_ms, _) in list(self._outcome_by_submission.items()):
+            has_arrived = confirmed_ms is not None and sent_ms < confirmed_ms
             is_theirs = (submission.address, submission.incarnation) == process
             if is_theirs and not has_arrived:
-                self._send(submission, ended)
+                self._repeat_outcome(submission)
 
     def on_contact_broken(self, message):
         """Give an instance that lost contact some time to repeat its submissions.
@@ -369,7 +369,7 @@
 
     def _submit(self, submission, message):
         if submission in self._outcome_by_submission:
-            self._send(submission, self._outcome_by_submission[submission][1])
+            self._repeat_outcome(submission)
             return
         self.completions.learn(message.job.job_id, message.finished_tasks)
         if not self.membership.is_live(submission.address, submission.incarnation):
@@ -616,6 +616,12 @@
         """
         self._outcome_by_submission[submission] = (self.context.now_ms, ended)
 
+    def _repeat_outcome(self, submission):
+        """Send an outcome again, and keep it from then on: it may be lost once more."""
+        _, ended = self._outcome_by_submission.pop(submission)
+        self._store_outcome(submission, ended)
+        self._send(submission, ended)
+
     def _send(self, submission, ended):
         context = self.context
         if submission.address == context.identity.address:
--- a/tests/dispatch/test_answers.py
+++ b/tests/dispatch/test_answers.py
@@ -47,6 +47,19 @@
     assert pop_outcomes(owner) == [lost]
 
 
+# Guards against a job that runs again, as its outcome was lost with several connections
+# one after the other.
+def test_job_is_not_run_again_while_its_outcome_is_lost_repeatedly():
+    owner = Owner()
+    (start,) = owner.submit()
+    end_run(owner, start)
+    (lost,) = pop_outcomes(owner)
+    for _ in range(4):
+        owner.advance_time(2_000.0)
+        assert owner.submit() == []
+        assert pop_outcomes(owner) == [lost]
+
+
 # Guards against repetitions without use: a heartbeat that was sent later has arrived.
 def test_outcome_that_has_arrived_is_not_sent_again():
     owner = Owner()
