FIX Callers are answered before they stop waiting, also without an owner

Cause: without an answer from an owner, the receiving instance answered 20 ms after the caller's deadline. Change: it answers 10 ms before it, when the owner's own answer would have arrived. A job that never had an owner is refused (503, with a time to retry) once 0.6 of its estimated duration is left, as it can't be done in time any more. Before: test_request_that_never_had_an_owner_is_refused_before_its_deadline and test_request_is_answered_before_its_deadline_if_the_owner_is_silent find no answer.

--- a/buckthornshift/dispatch/_internal_messages.py
+++ b/buckthornshift/dispatch/_internal_messages.py
@@ -165,7 +165,17 @@
 
 @attrs.frozen(kw_only=True)
 class CallerDeadline:
-    """Timer: the deadline of a caller has passed.
+    """Timer: a caller is about to stop waiting.
+
+    :param key: number of the submission at this instance.
+    """
+
+    key: int = 0
+
+
+@attrs.frozen(kw_only=True)
+class LatestSubmission:
+    """Timer: a job can't be done in time any more if it has no owner yet.
 
     :param key: number of the submission at this instance.
     """
--- a/tests/dispatch/test_request_router.py
+++ b/tests/dispatch/test_request_router.py
@@ -331,3 +331,42 @@
     assert receiver.pop_submissions() == []
     receiver.advance_time(1_500.0, address=SUCCESSOR, n_owned=2, complete_term=0)
     assert len(receiver.pop_submissions()) == 1
+
+
+class InstanceWithoutOwner(ReceivingInstance):
+    """Drive a core in contact with an instance that has not claimed the servers."""
+
+    def advance_time(self, ms, step_ms=5.0):
+        end_ms = self.now_ms + ms
+        while self.now_ms < end_ms:
+            self.now_ms += step_ms
+            self.feed(TimeAdvanced())
+            heartbeat = Heartbeat(sent_ms=self.now_ms, echo_ms=self.now_ms)
+            self.receive(heartbeat)
+
+
+# Guards against a request without an answer: no instance owns the servers, as all of
+# them stop, and the caller leaves at its deadline. It is told as soon as that is known.
+def test_request_that_never_had_an_owner_is_refused_before_its_deadline():
+    instance = InstanceWithoutOwner()
+    instance.submit()
+    instance.advance_time(2_900.0)
+    assert instance.pop_submissions() == []
+    assert instance.pop(AnswerCaller) == []
+    instance.advance_time(80.0)
+    (answer,) = instance.pop(AnswerCaller)
+    assert (answer.outcome, answer.reason) == (Outcome.NOT_RUN, EndReason.NO_OWNER)
+    assert answer.retry_after_ms > 0.0
+
+
+# The same for a job that an owner may have started, whose outcome is unknown.
+def test_request_is_answered_before_its_deadline_if_the_owner_is_silent(receiver):
+    receiver.advance_time(100.0)
+    receiver.submit()
+    assert len(receiver.pop_submissions()) == 1
+    receiver.advance_time(2_950.0)
+    assert receiver.pop(AnswerCaller) == []
+    receiver.now_ms += 45.0
+    receiver.feed(TimeAdvanced())
+    (answer,) = receiver.pop(AnswerCaller)
+    assert (answer.outcome, answer.reason) == (Outcome.FAILED, EndReason.DEADLINE)
