FIX A job that never had an owner is refused by a timer of its own

Change: the other requests are answered as before; one that has no owner when it arrives gets a timer 10 ms before its caller's deadline, and is refused then (503, with a time to retry) if it never had one. Before: test_request_that_never_had_an_owner_is_refused_before_its_deadline finds no answer.

--- a/buckthornshift/dispatch/_internal_messages.py
+++ b/buckthornshift/dispatch/_internal_messages.py
@@ -165,7 +165,7 @@
 
 @attrs.frozen(kw_only=True)
 class CallerDeadline:
-    """Timer: a caller is about to stop waiting.
+    """Timer: the deadline of a caller has passed.
 
     :param key: number of the submission at this instance.
     """
@@ -174,8 +174,8 @@
 
 
 @attrs.frozen(kw_only=True)
-class LatestSubmission:
-    """Timer: a job can't be done in time any more if it has no owner yet.
+class RefusalDue:
+    """Timer: the caller of a job that had no owner is about to stop waiting.
 
     :param key: number of the submission at this instance.
     """
--- a/buckthornshift/dispatch/_request_router.py
+++ b/buckthornshift/dispatch/_request_router.py
@@ -13,9 +13,9 @@
     CallerDeadline,
     CellsChanged,
     ContactBroken,
-    LatestSubmission,
     OwnerChanged,
     PeerLost,
+    RefusalDue,
     ResubmitDue,
     SubmissionEnded,
 )
@@ -23,11 +23,10 @@
 
 # Assumed duration of a job as a multiple of its estimate; 90% of jobs take less.
 LONG_RUN_FACTOR = 2.0
-# Assumed shortest duration of a job as a multiple of its estimate.
-SHORT_RUN_FACTOR = 0.6
-# A caller is answered so long before it stops waiting. The owner ends a job earlier, so
-# that its message arrives before.
-ANSWER_MARGIN_MS = 10.0
+# The owner ends a job at its deadline; this is the extra wait for its message.
+OWNER_ANSWER_SLACK_MS = 20.0
+# A job without an owner is refused so long before its caller stops waiting.
+REFUSAL_MARGIN_MS = 10.0
 # Part of a submission's number that counts the requests of a process, and the part of
 # the incarnation before it; both fit into 64 bits with a sign.
 REQUEST_NUMBER_BITS = 31
@@ -123,7 +122,7 @@
             JobArrived: self.on_arrived,
             CallerDisconnected: self.on_caller_disconnected,
             CallerDeadline: self.on_deadline,
-            LatestSubmission: self.on_latest_submission,
+            RefusalDue: self.on_refusal_due,
             OwnerChanged: self.on_owner_changed,
             CellsChanged: self.on_owner_changed,
             PeerLost: self.on_peer_lost,
@@ -158,18 +157,19 @@
             config_version=context.configuration.version,
         )
         context.start_timer(
-            max(0.0, event.timeout_ms - ANSWER_MARGIN_MS),
-            CallerDeadline(key=request.key),
-        )
-        shortest_ms = SHORT_RUN_FACTOR * event.job.compute_critical_path_ms()
-        context.start_timer(
-            max(0.0, event.timeout_ms - shortest_ms), LatestSubmission(key=request.key)
+            event.timeout_ms + OWNER_ANSWER_SLACK_MS, CallerDeadline(key=request.key)
         )
         if self._ends_after_shutdown(request):
             self._refuse(request, EndReason.STOPPING)
             return
-        if not self._shed_if_overloaded(request):
-            self._route(request)
+        if self._shed_if_overloaded(request):
+            return
+        self._route(request)
+        if request.owner is None:
+            context.start_timer(
+                max(0.0, event.timeout_ms - REFUSAL_MARGIN_MS),
+                RefusalDue(key=request.key),
+            )
 
     def on_caller_disconnected(self, event):
         """Cancel the job of a caller that closed its connection."""
@@ -182,13 +182,13 @@
             self._send(request.owner[0], DropJob(key=key))
 
     def on_deadline(self, message):
-        """Answer a caller that is about to leave without an answer from the owner."""
+        """Answer a caller whose deadline passed without an answer from the owner."""
         request = self.by_key.get(message.key)
         if request is not None:
             self._answer_unfinished(request, EndReason.DEADLINE)
 
-    def on_latest_submission(self, message):
-        """Refuse a job that has had no owner, and can't be done in time any more."""
+    def on_refusal_due(self, message):
+        """Refuse a job that has had no owner while its caller waited."""
         request = self.by_key.get(message.key)
         if request is None or request.owner is not None or request.may_have_run:
             return
