--- a/review/6/case.py
+++ b/review/6/case.py
@@ -90,9 +90,7 @@
     owner = await system.find_owner()
     if owner is None:
         raise harness.CannotRunError("no instance owns the servers")
-    home = next(
-        i for i in system.instances if i.zone == owner.zone and i is not owner
-    )
+    home = next(i for i in system.instances if i.zone == owner.zone and i is not owner)
     others = [i for i in system.instances if i.zone != owner.zone]
     record.say(f"owner {owner.name}, requests go to {home.name}")
     clients = [Client(system, harness.make_job_id(random_state)) for _ in range(N_JOBS)]
--- a/review/lib-2/harness.py
+++ b/review/lib-2/harness.py
@@ -1,7 +1,8 @@
 """Start dispatching instances as processes, with stand-ins around them on loopback.
 
 The platform and the backend servers are the project's own stand-ins. They run in the
-process of the script; the instances are processes started with the deploy file's command.
+process of the script; the instances are processes started with the command of the
+deploy file.
 """
 
 import asyncio
@@ -77,7 +78,8 @@
     """Write what was sent, answered and run to ``record.txt``."""
 
     def __init__(self, folder):
-        self._file = open(pathlib.Path(folder) / "record.txt", "w", encoding="utf-8")
+        path = pathlib.Path(folder) / "record.txt"
+        self._file = path.open("w", encoding="utf-8")
         self._started_s = time.monotonic()
 
     def now_s(self):
@@ -130,7 +132,9 @@
                 entry["end_s"] = self.record.now_s()
                 entry["how"] = how
                 break
-        self.record.write(f"server {server.server_id} ended {run.task} run {run.run}: {how}")
+        self.record.write(
+            f"server {server.server_id} ended {run.task} run {run.run}: {how}"
+        )
 
 
 class PeerLink:
@@ -420,8 +424,10 @@
 
     def may_reach(self, instance, zone):
         """Return whether an instance reaches the backend servers of a zone."""
-        return instance is None or (instance.zone == zone) or (
-            not {instance.zone, zone} & self.cut_zones
+        return (
+            instance is None
+            or (instance.zone == zone)
+            or (not {instance.zone, zone} & self.cut_zones)
         )
 
     def cut_zone(self, zones):
@@ -438,7 +444,9 @@
         ports = find_free_ports(4 * len(self.zones))
         for index, zone in enumerate(self.zones):
             own_ports = ports[4 * index : 4 * index + 4]
-            instance = Instance(f"front-{zone}-{index + 1}", zone, own_ports, self.folder)
+            instance = Instance(
+                f"front-{zone}-{index + 1}", zone, own_ports, self.folder
+            )
             if self.has_links:
                 instance.link = PeerLink(instance.listen_peers, self.may_pass)
                 await instance.link.start()
