--- a/review/lib-2/harness.py
+++ b/review/lib-2/harness.py
@@ -11,6 +11,7 @@
 import os
 import pathlib
 import random
+import shutil
 import signal
 import socket
 import struct
@@ -535,6 +536,10 @@
         self.platform.close()
         # Lets connections that were just accepted end before the event loop does.
         await asyncio.sleep(0.2)
+        if os.environ.get("KEEP_LOGS"):
+            self.record.say(f"logs: {self.folder}")
+        else:
+            shutil.rmtree(self.folder, ignore_errors=True)
 
     async def find_owner(self):
         """Return the instance that owns the servers, by its state dump."""
